--- /dev/null
+++ b/crates/simhost/src/host.rs
@@ -0,0 +1,405 @@
+//! Reads batches, calls the pilots, writes their decisions.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
+
+use lockcroft::{Decision, Finding, Listed, Listing, Pilot, SecondTry};
+
+use crate::codec::Line;
+use crate::terms;
+
+/// One pilot and what belongs to the wire alone: names, the clock at its start, its timer.
+struct Instance {
+    pilot: Pilot,
+    born: Duration,
+    /// When the earliest timer still out comes due.
+    timer: Option<Duration>,
+    servers: Names,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    classes: Vec<String>,
+    /// Set where this host has nothing to offer: said once, then the instance stays idle.
+    idle: Option<String>,
+}
+
+#[derive(Default)]
+struct Names {
+    names: Vec<String>,
+    indices: BTreeMap<String, usize>,
+}
+
+impl Names {
+    fn index(&mut self, name: &str) -> usize {
+        if let Some(index) = self.indices.get(name) {
+            return *index;
+        }
+        self.names.push(name.to_string());
+        self.indices.insert(name.to_string(), self.names.len() - 1);
+        self.names.len() - 1
+    }
+}
+
+type Done = Result<(), String>;
+
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<u32, Instance>,
+    /// Instances with news in this batch, in the order in which it came.
+    touched: Vec<u32>,
+    clock: Duration,
+    reply: String,
+}
+
+/// Serves until the input ends; anything malformed ends it with a message.
+pub fn serve(input: impl BufRead, mut output: impl Write) -> Done {
+    let mut host = Host::default();
+    let mut lines = Numbered { input, number: 0, buffer: String::new() };
+    while lines.next()? {
+        host.batch(&mut lines)?;
+        output
+            .write_all(host.reply.as_bytes())
+            .and_then(|()| output.flush())
+            .map_err(|e| format!("writing: {e}"))?;
+    }
+    Ok(())
+}
+
+struct Numbered<R> {
+    input: R,
+    number: usize,
+    buffer: String,
+}
+
+impl<R: BufRead> Numbered<R> {
+    /// False at the end of the input.
+    fn next(&mut self) -> Result<bool, String> {
+        self.buffer.clear();
+        self.number += 1;
+        let read = self.input.read_line(&mut self.buffer);
+        if read.map_err(|e: io::Error| format!("line {}: {e}", self.number))? == 0 {
+            return Ok(false);
+        }
+        if self.buffer.pop() != Some('\n') {
+            return Err(format!("line {}: input cut off inside the line", self.number));
+        }
+        Ok(true)
+    }
+
+    fn next_within_batch(&mut self) -> Done {
+        if self.next()? { Ok(()) } else { Err(format!("line {}: input cut off inside a batch", self.number)) }
+    }
+
+    fn blame(&self, problem: String) -> String {
+        let tag = Line::new(&self.buffer).tag;
+        format!("line {}: {tag:?}: {problem}", self.number)
+    }
+}
+
+impl Host {
+    fn batch(&mut self, lines: &mut Numbered<impl BufRead>) -> Done {
+        let mut first = Line::new(&lines.buffer);
+        let clock = match first.tag {
+            "CLOCK" => first.time("clock").and_then(|clock| first.end().map(|()| clock)),
+            _ => Err("a batch begins with CLOCK".into()),
+        };
+        self.clock = clock.map_err(|e| lines.blame(e))?;
+        self.reply.clear();
+        self.touched.clear();
+        loop {
+            lines.next_within_batch()?;
+            let mut line = Line::new(&lines.buffer);
+            if line.tag == "EOF_BATCH" {
+                line.end().map_err(|e| lines.blame(e))?;
+                break;
+            }
+            let listing = self.event(&mut line).map_err(|e| lines.blame(e))?;
+            if let Some((instance, full, count)) = listing {
+                self.list(lines, instance, full, count)?;
+            }
+        }
+        for number in std::mem::take(&mut self.touched) {
+            if let Some(instance) = self.instances.get_mut(&number) {
+                instance.decide(number, self.clock, &mut self.reply);
+            }
+        }
+        self.reply.push_str("YIELD\n");
+        Ok(())
+    }
+
+    /// Takes one event; a list of servers still has to be read when its instance, whether it is
+    /// complete and the number of its entries come back.
+    fn event(&mut self, line: &mut Line) -> Result<Option<(u32, bool, usize)>, String> {
+        let known = [
+            "BORN",
+            "REGISTRY",
+            "ROUNDUP",
+            "REMINDER",
+            "RECORDED",
+            "HEALTH_RESULT",
+            "WEIGHT_SEEN",
+            "PEER_DATA",
+            "RECEIPT",
+            "DETACHED",
+            "HANDED",
+            "KILLED",
+            "PROXY_STATS",
+            "ENROLLED",
+        ];
+        if !known.contains(&line.tag) {
+            return Err("unknown message".into());
+        }
+        let number: u32 = line.number("pilot")?;
+        if line.tag == "BORN" {
+            let seed = line.number("seed")?;
+            let instance = Instance::new(seed, line.text("settings")?, self.clock)?;
+            self.instances.insert(number, instance);
+            self.touch(number);
+            return Ok(None);
+        }
+        let clock = self.clock;
+        let instance =
+            self.instances.get_mut(&number).ok_or_else(|| format!("pilot {number} was not born"))?;
+        let now = clock.saturating_sub(instance.born);
+        match line.tag {
+            "REGISTRY" => {
+                let form = line.word("form")?;
+                line.number::<u64>("epoch")?;
+                let count = line.number("number of entries")?;
+                line.end()?;
+                let full = match form {
+                    "snapshot" | "disk" => true,
+                    "diff" | "error" => false,
+                    other => return Err(format!("unknown form {other:?}")),
+                };
+                self.touch(number);
+                return Ok(Some((number, full, count)));
+            }
+            "KILLED" => {
+                line.end()?;
+                self.instances.remove(&number);
+                self.touched.retain(|touched| *touched != number);
+                return Ok(None);
+            }
+            "ROUNDUP" => {
+                let tries = line.number("tries")?;
+                let wait = line.time("mean time")?;
+                let failed = line.number("failed tries")?;
+                line.word("zone")?;
+                let span = line.time("period")?;
+                let server = instance.servers.index(line.word("server")?);
+                line.word("load report")?;
+                instance.guard(|pilot| pilot.reported(now, server, tries, failed, wait, span));
+            }
+            "PROXY_STATS" => {
+                line.number::<u64>("unanswered")?;
+                let span = line.time("period")?;
+                let class = line.word("class")?;
+                let class =
+                    position(&instance.classes, class).ok_or_else(|| format!("unknown class {class:?}"))?;
+                line.number::<u32>("proxy")?;
+                let visits = line.number("visits")?;
+                instance.guard(|pilot| pilot.counted(class, visits, span));
+            }
+            "HEALTH_RESULT" => {
+                let server = instance.servers.index(line.word("server")?);
+                let finding = match line.word("verdict")? {
+                    "done" => Finding::Passed,
+                    "err" | "etimedout" => Finding::Failed,
+                    "econnrefused" | "econnreset" => Finding::Refused,
+                    "busy" | "ecanceled" | "skipped" => Finding::TurnedAway,
+                    other => return Err(format!("unknown verdict {other:?}")),
+                };
+                let wait = line.time("time")?;
+                line.word("load report")?;
+                instance.guard(|pilot| pilot.probed(now, server, finding, wait));
+            }
+            "ENROLLED" => {
+                line.flag("fresh")?;
+                let proxy = line.number("proxy")?;
+                line.amount("rate")?;
+                let zone = line.word("zone")?;
+                let zone = position(&instance.zones, zone).ok_or_else(|| format!("unknown zone {zone:?}"))?;
+                instance.guard(|pilot| pilot.joined(now, proxy, zone));
+            }
+            "DETACHED" => {
+                let proxy = line.number("proxy")?;
+                instance.guard(|pilot| pilot.left(proxy));
+            }
+            "REMINDER" => {
+                line.number::<u64>("tag")?;
+                if instance.timer.is_some_and(|timer| timer <= clock) {
+                    instance.timer = None;
+                }
+            }
+            // Marks are never asked for, peers never written to, and slices are not laid here.
+            "RECEIPT" => {
+                line.number::<u32>("proxy")?;
+                line.number::<u32>("mark")?;
+                line.time("time")?;
+            }
+            "PEER_DATA" => {
+                line.number::<u32>("sender")?;
+                line.word("body")?;
+            }
+            "HANDED" => {
+                line.flag("given")?;
+                line.number::<u32>("slice")?;
+            }
+            "RECORDED" => {
+                line.amount("weight")?;
+                line.number::<u32>("slice")?;
+                line.word("server")?;
+            }
+            "WEIGHT_SEEN" => {
+                line.number::<u32>("slice")?;
+                line.word("class")?;
+                line.number::<u64>("visits")?;
+                line.number::<u64>("unanswered")?;
+                line.time("period")?;
+            }
+            tag => return Err(format!("no reader for {tag}")),
+        }
+        line.end()?;
+        self.touch(number);
+        Ok(None)
+    }
+
+    fn list(&mut self, lines: &mut Numbered<impl BufRead>, number: u32, full: bool, count: usize) -> Done {
+        let clock = self.clock;
+        let mut entries = Vec::new();
+        for left in (0..count).rev() {
+            lines.next_within_batch()?;
+            let mut line = Line::new(&lines.buffer);
+            if line.tag != "ITEM" {
+                return Err(lines.blame(format!("{} more entries of the list were due", left + 1)));
+            }
+            let instance = self.instances.get_mut(&number);
+            let entry = instance.map(|instance| instance.entry(&mut line, clock)).transpose();
+            entries.extend(entry.map_err(|e| lines.blame(e))?);
+        }
+        if let Some(instance) = self.instances.get_mut(&number) {
+            let now = clock.saturating_sub(instance.born);
+            instance.guard(|pilot| pilot.listed(now, full, &entries));
+        }
+        Ok(())
+    }
+
+    fn touch(&mut self, number: u32) {
+        if !self.touched.contains(&number) {
+            self.touched.push(number);
+        }
+    }
+}
+
+impl Instance {
+    fn new(seed: u64, settings: &str, clock: Duration) -> Result<Self, String> {
+        let terms = terms::read(settings)?;
+        let texts = |list: &str| terms.texts(list).into_iter().map(String::from).collect();
+        let classes = (0..terms.count("classes")).map_while(|i| terms.text(&format!("classes.{i}.name")));
+        let classes = classes.map(String::from).collect();
+        let slices = terms.number("fleet.slices").unwrap_or(0.0) > 0.0;
+        let idle = slices
+            .then(|| "the keys are in slices, for which lockcroft lays no tables yet: idle".to_string());
+        Ok(Instance {
+            zones: texts("zones"),
+            kinds: texts("kinds"),
+            classes,
+            born: clock,
+            timer: None,
+            servers: Names::default(),
+            idle,
+            pilot: Pilot::new(terms, seed),
+        })
+    }
+
+    fn entry(&mut self, line: &mut Line, clock: Duration) -> Result<Listing, String> {
+        let server = self.servers.index(line.word("server")?);
+        let zone = line.word("zone")?;
+        let zone = position(&self.zones, zone).ok_or_else(|| format!("unknown zone {zone:?}"))?;
+        let kind = line.word("kind")?;
+        let kind = position(&self.kinds, kind).ok_or_else(|| format!("unknown kind {kind:?}"))?;
+        line.number::<i64>("cell")?;
+        let state = match line.word("state")? {
+            "U" => Listed::Ready,
+            "L" => Listed::Draining,
+            "D" => Listed::Gone,
+            other => return Err(format!("unknown state {other:?}")),
+        };
+        let weight = line.amount("weight")?;
+        let started = line.time_or_none("start")?.filter(|started| !started.is_zero());
+        line.end()?;
+        let age = started.map(|started| clock.saturating_sub(started));
+        Ok(Listing { server, zone, kind, state, weight, age })
+    }
+
+    /// Calls the pilot; if that fails, the instance has failed and no other.
+    fn guard<T>(&mut self, call: impl FnOnce(&mut Pilot) -> T) -> Option<T> {
+        let result = catch_unwind(AssertUnwindSafe(|| call(&mut self.pilot)));
+        if let Err(panic) = &result {
+            let text = panic.downcast_ref::<String>().map(String::as_str);
+            let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("no reason given");
+            self.idle = Some(format!("FATAL {}", text.replace('\n', " ")));
+        }
+        result.ok()
+    }
+
+    fn decide(&mut self, number: u32, clock: Duration, reply: &mut String) {
+        let now = clock.saturating_sub(self.born);
+        while self.idle.is_none() {
+            match self.guard(|pilot| pilot.next_decision(now)) {
+                Some(Some(decision)) => self.encode(number, decision, reply),
+                _ => break,
+            }
+        }
+        if let Some(text) = self.idle.as_mut().map(std::mem::take) {
+            match text.strip_prefix("FATAL ") {
+                Some(reason) => line(reply, format_args!("FATAL {number} {reason}")),
+                None if !text.is_empty() => line(reply, format_args!("NOTE_DOWN {number} {text}")),
+                None => {}
+            }
+            return;
+        }
+        let Some(due) = self.guard(|pilot| pilot.next_due()).flatten() else { return };
+        let due = (due + self.born).max(clock);
+        if self.timer.is_none_or(|timer| due < timer) {
+            self.timer = Some(due);
+            line(reply, format_args!("SLEEP {number} {} 0", (due - clock).as_micros()));
+        }
+    }
+
+    fn encode(&self, number: u32, decision: Decision, reply: &mut String) {
+        let name = |server: usize| &self.servers.names[server];
+        match decision {
+            Decision::Probe(server) => line(reply, format_args!("POLL {number} {}", name(server))),
+            Decision::Weigh { class, server, weight } => {
+                line(reply, format_args!("SET_LINE {number} {weight} {class} {}", name(server)))
+            }
+            Decision::Bind { class, proxy } => {
+                line(reply, format_args!("HAND_TABLE {number} {proxy} {class} {}", 1u64 << class))
+            }
+            Decision::Withdraw { server, withdrawn } => {
+                line(reply, format_args!("BENCH {number} {} {}", u8::from(withdrawn), name(server)))
+            }
+            Decision::Admit { class, share, second } => {
+                let second = match second {
+                    SecondTry::IfNeverRan => 1,
+                    SecondTry::AfterAnyFailure => 2,
+                };
+                line(reply, format_args!("GATE_CLASS {number} {class} {} {share} {second}", 1u64 << class))
+            }
+            Decision::Note(text) => line(reply, format_args!("NOTE_DOWN {number} {text}")),
+        }
+    }
+}
+
+fn line(reply: &mut String, text: std::fmt::Arguments) {
+    // Writing to a String cannot fail.
+    let _ = writeln!(reply, "{text}");
+}
+
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
--- /dev/null
+++ b/crates/simhost/src/terms.rs
@@ -0,0 +1,66 @@
+//! The settings that arrive with an instance, flattened and renamed to the users' words.
+
+use lockcroft::{Term, Terms};
+use serde_json::Value;
+
+/// Wire name, house name. Names that are not here pass as they are.
+const NAMES: [(&str, &str); 23] = [
+    ("agents", "proxies"),
+    ("cold_from", "cold_share"),
+    ("cold_us", "warm_within_us"),
+    ("counted_over_us", "messages_span_us"),
+    ("cycle_us", "report_period_us"),
+    ("deadline_us", "patience_us"),
+    ("default_retry", "second_try_default"),
+    ("drain_binds_alone", "only_draining_binds"),
+    ("egress_per_s", "channel_lines_per_s"),
+    ("fall_us", "cold_span_us"),
+    ("first_wait", "second_try_after"),
+    ("fleet_size", "pilots"),
+    ("late_worth", "late_earnings"),
+    ("overhead", "message_head_lines"),
+    ("overload_factor", "cold_multiple"),
+    ("partitions_n", "slices"),
+    ("policy_limits", "allowed"),
+    ("propagation_us", "message_delay_us"),
+    ("queue_cap", "queue_most_lines"),
+    ("reloads_max", "messages_most"),
+    ("specifics", "fleet"),
+    ("target_us", "contract_time_us"),
+    ("worth", "earnings"),
+];
+
+pub fn read(text: &str) -> Result<Terms, String> {
+    let value: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    if !value.is_object() {
+        return Err("settings: not an object".into());
+    }
+    let mut terms = Terms::default();
+    flatten(String::new(), &value, &mut terms);
+    Ok(terms)
+}
+
+fn flatten(path: String, value: &Value, terms: &mut Terms) {
+    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    let term = match value {
+        Value::Null => return,
+        Value::Bool(flag) => Term::Flag(*flag),
+        Value::Number(number) => Term::Number(number.as_f64().unwrap_or(f64::NAN)),
+        Value::String(text) => Term::Text(text.clone()),
+        Value::Array(members) => {
+            for (i, member) in members.iter().enumerate() {
+                flatten(below(&i.to_string()), member, terms);
+            }
+            return;
+        }
+        Value::Object(members) => {
+            for (name, member) in members {
+                let house =
+                    NAMES.iter().find(|(wire, _)| wire == name).map_or(name.as_str(), |(_, house)| house);
+                flatten(below(house), member, terms);
+            }
+            return;
+        }
+    };
+    terms.0.insert(path, term);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,77 @@
+//! lockcroft decides, for a fleet of plain proxies, which servers each class of visits may use
+//! and at what weight. All decisions are in [`logic`]; this crate knows no wire and no clock.
+
+pub mod logic;
+mod terms;
+
+pub use logic::Pilot;
+pub use terms::{Term, Terms};
+
+use std::time::Duration;
+
+/// Servers, proxies, zones and classes are small indices, given out by whoever hosts the pilot.
+pub type Server = usize;
+pub type Proxy = usize;
+pub type Zone = usize;
+pub type Kind = usize;
+pub type Class = usize;
+
+/// What the list of servers says of one server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listing {
+    pub server: Server,
+    pub zone: Zone,
+    pub kind: Kind,
+    pub state: Listed,
+    /// The listed weight; 1 where the list gives none.
+    pub weight: f64,
+    /// How long ago its process started; `None` if that was long ago.
+    pub age: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How one probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// Answered.
+    Passed,
+    /// Answered with an error, or not in time: the server may still be working.
+    Failed,
+    /// Nothing listens there, or the connection broke.
+    Refused,
+    /// Turned away, which says nothing of the server's health.
+    TurnedAway,
+}
+
+/// What proxies do after a failed try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SecondTry {
+    /// One more, after proof that the first never ran.
+    IfNeverRan,
+    /// One more, after any failure.
+    AfterAnyFailure,
+}
+
+/// One decision, to be carried out by the host before it asks for the next. All decisions given
+/// out at one time travel together, as one message to each proxy concerned.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Look at a server and tell [`Pilot::probed`].
+    Probe(Server),
+    /// Give a server this weight in the table of a class; 0 takes it out.
+    Weigh { class: Class, server: Server, weight: f64 },
+    /// Put a proxy on the table of a class.
+    Bind { class: Class, proxy: Proxy },
+    /// Keep every joined proxy from a server, whatever tables it holds, or end that.
+    Withdraw { server: Server, withdrawn: bool },
+    /// Let in this share of a class's visits, and say when proxies try a second time.
+    Admit { class: Class, share: f64, second: SecondTry },
+    /// Tell the people on call.
+    Note(String),
+}
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,59 @@
+//! What an operator states at the start, by name.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Term {
+    Number(f64),
+    Flag(bool),
+    Text(String),
+}
+
+/// A plain map of names to values. Names of nested values are joined by dots, and the members of
+/// lists are numbered from 0: `classes.0.patience_us`. What was not stated is simply not there.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Terms(pub BTreeMap<String, Term>);
+
+impl Terms {
+    pub fn number(&self, name: &str) -> Option<f64> {
+        match self.0.get(name) {
+            Some(Term::Number(value)) if value.is_finite() => Some(*value),
+            _ => None,
+        }
+    }
+
+    /// A time, stated in microseconds under a name that ends in `_us`.
+    pub fn time(&self, name: &str) -> Option<Duration> {
+        let micros = self.number(name).filter(|micros| *micros >= 0.0)?;
+        Some(Duration::from_micros(micros as u64))
+    }
+
+    pub fn text(&self, name: &str) -> Option<&str> {
+        match self.0.get(name) {
+            Some(Term::Text(value)) => Some(value),
+            _ => None,
+        }
+    }
+
+    pub fn flag(&self, name: &str) -> bool {
+        self.0.get(name) == Some(&Term::Flag(true))
+    }
+
+    /// How many members the list of this name has.
+    pub fn count(&self, name: &str) -> usize {
+        (0..).take_while(|i| self.has_below(&format!("{name}.{i}"))).count()
+    }
+
+    /// The texts of a list.
+    pub fn texts(&self, name: &str) -> Vec<&str> {
+        (0..).map_while(|i| self.text(&format!("{name}.{i}"))).collect()
+    }
+
+    fn has_below(&self, prefix: &str) -> bool {
+        let next = self.0.range(prefix.to_string()..).next();
+        next.is_some_and(|(name, _)| {
+            name.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+        })
+    }
+}
