--- a/src/logic.rs
+++ b/src/logic.rs
@@ -248,8 +248,13 @@
             let warm_at = entry.age.map_or(Duration::ZERO, |age| (now + within).saturating_sub(age));
             let cold_from = now.saturating_sub(entry.age.unwrap_or(now));
             let Some(known) = self.servers.get_mut(&entry.server) else {
-                let known = Known::new(*entry, cold_from, warm_at);
+                let mut known = Known::new(*entry, cold_from, warm_at);
+                // Where probes are not allowed, all count as having passed one.
+                known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
                 self.servers.insert(entry.server, known);
+                if !self.terms.flag("allowed.probes") {
+                    continue;
+                }
                 let first = now + self.jitter(PROBE_BETWEEN, 1.0);
                 self.due.insert((first, Due::Probe(entry.server)));
                 continue;
@@ -259,7 +264,7 @@
             // A new process knows nothing of the old one's health, and is cold. Old news of a start
             // (it may be repeated, or come after probes have found the server back) changes nothing.
             if entry.age.is_some() && cold_from > known.cold_from && warm_at > known.warm_at || back {
-                known.counter = None;
+                known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
                 known.doubted_until = Duration::ZERO;
                 known.heed_from = now + settle;
                 (known.fresh, known.recent) = (Tally::default(), Tally::default());
@@ -383,6 +388,9 @@
 
     fn probe(&mut self, now: Duration, server: Server) {
         let Some(known) = self.servers.get_mut(&server) else { return };
+        if !self.terms.flag("allowed.probes") {
+            return;
+        }
         if known.barred(&self.terms) {
             self.due.insert((now + PROBE_DOWN, Due::Probe(server)));
             return;
