--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 /// A line is not worth its cost while it is off by less than this share; the resend takes all.
 const TOLERANCE: f64 = 0.1;
 /// Share of failed tries from which a server is taken to be down, and below which it is well.
-const FAILING: f64 = 0.6;
+const FAILING: f64 = 0.85;
 const SOUND: f64 = 0.2;
 /// Mean time over contract time from which a server or the fleet counts as late, and below which
 /// there is room again.
@@ -52,8 +52,8 @@
 const RELIEF_DROP: f64 = 0.5;
 const RELIEF_BACK: f64 = 0.04;
 const RELIEF_LEAST: f64 = 0.05;
-/// How much of what is let in goes or comes back in one step, and what always stays.
-const SHED_STEP: f64 = 0.1;
+/// What at least stays let in after one step, what comes back in one, and what always stays.
+const SHED_STEP: f64 = 0.6;
 const SHED_BACK: f64 = 0.05;
 const ADMIT_LEAST: f64 = 0.3;
 /// What a report adds fades by this share each report period.
@@ -459,7 +459,8 @@
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
             if known.up()
                 && seen.failed >= f64::from(FALL)
-                && seen.failing() > FAILING.max(3.0 * others.failing())
+                && seen.failing() > FAILING
+                && others.failing() < SOUND
             {
                 moves.push((*server, -(FALL as i32)));
                 known.doubts += 1;
@@ -493,7 +494,7 @@
         if now >= self.admission_moved + settle && self.fleet.tries > 0.0 {
             let was = self.admission;
             if fleet_late > LATE {
-                self.admission = (was * (1.0 - SHED_STEP)).max(ADMIT_LEAST);
+                self.admission = (was * (LATE / fleet_late).max(SHED_STEP)).max(ADMIT_LEAST);
             } else if fleet_late < ROOM {
                 self.admission = (was + SHED_BACK).min(1.0);
             }
