--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,9 +52,9 @@
 const RELIEF_DROP: f64 = 0.5;
 const RELIEF_BACK: f64 = 0.04;
 const RELIEF_LEAST: f64 = 0.05;
-/// What at least stays let in after one step, what comes back in one, and what always stays.
+/// What at least stays let in after one step, how it grows back in one, and what always stays.
 const SHED_STEP: f64 = 0.6;
-const SHED_BACK: f64 = 0.05;
+const SHED_BACK: f64 = 1.25;
 const ADMIT_LEAST: f64 = 0.3;
 /// What a report adds fades by this share each report period.
 const FADE: f64 = 0.5;
@@ -496,7 +496,7 @@
             if fleet_late > LATE {
                 self.admission = (was * (LATE / fleet_late).max(SHED_STEP)).max(ADMIT_LEAST);
             } else if fleet_late < ROOM {
-                self.admission = (was + SHED_BACK).min(1.0);
+                self.admission = (was * SHED_BACK).min(1.0);
             }
             if was != self.admission {
                 self.admission_moved = now;
