--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -385,6 +385,7 @@
             }
             Decision::Admit { class, share, second } => {
                 let second = match second {
+                    SecondTry::Never => 0,
                     SecondTry::IfNeverRan => 1,
                     SecondTry::AfterAnyFailure => 2,
                 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 /// What proxies do after a failed try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SecondTry {
+    Never,
     /// One more, after proof that the first never ran.
     IfNeverRan,
     /// One more, after any failure.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -744,7 +744,7 @@
     }
 
     fn second(&self, calm: bool) -> SecondTry {
-        if false && self.repeatable && calm { SecondTry::AfterAnyFailure } else { SecondTry::IfNeverRan }
+        if calm { SecondTry::IfNeverRan } else { SecondTry::Never }
     }
 }
 
