--- a/src/logic.rs
+++ b/src/logic.rs
@@ -104,6 +104,8 @@
     /// `None` until the first result.
     counter: Option<u32>,
     probe_sent: Option<Duration>,
+    /// Reports show that it answered tries; the next report is due by this time.
+    answers_until: Duration,
     /// It warms up between these times.
     cold_from: Duration,
     warm_at: Duration,
@@ -265,7 +267,7 @@
             // (it may be repeated, or come after probes have found the server back) changes nothing.
             if entry.age.is_some() && cold_from > known.cold_from && warm_at > known.warm_at || back {
                 known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
-                known.doubted_until = Duration::ZERO;
+                (known.doubted_until, known.answers_until) = (Duration::ZERO, now);
                 known.heed_from = now + settle;
                 (known.fresh, known.recent) = (Tally::default(), Tally::default());
                 self.due.insert((now, Due::Probe(entry.server)));
@@ -286,7 +288,11 @@
         match finding {
             Finding::Passed if now < known.doubted_until => {}
             Finding::Passed => self.moved(now, server, 1),
-            Finding::Failed | Finding::Refused => self.moved(now, server, -1),
+            Finding::Failed => self.moved(now, server, -1),
+            Finding::Refused => {
+                known.answers_until = now;
+                self.moved(now, server, -1);
+            }
             Finding::TurnedAway => {}
         }
     }
@@ -301,10 +307,14 @@
         took: Duration,
         _: Duration,
     ) {
+        let period = self.period();
         let Some(known) = self.servers.get_mut(&server).filter(|known| now >= known.heed_from) else {
             return;
         };
         let (tries, failed) = (f64::from(tries), f64::from(failed.min(tries)));
+        if failed < tries {
+            known.answers_until = now + period;
+        }
         known.fresh.add(Tally { tries, failed, answered: (tries - failed) * took.as_secs_f64() });
     }
 
@@ -414,7 +424,7 @@
     fn moved(&mut self, now: Duration, server: Server, by: i32) {
         let brief = self.warm_within().mul_f64(RETURN);
         let Some(known) = self.servers.get_mut(&server) else { return };
-        let was_up = known.up();
+        let was_up = known.up(now);
         let never = known.counter.is_none();
         let counter = match known.counter {
             None if by > 0 => TOP,
@@ -422,7 +432,7 @@
             Some(counter) => counter.saturating_add_signed(by).min(TOP),
         };
         known.counter = Some(counter);
-        if !never && !was_up && known.up() && known.warm_at < now + brief {
+        if !never && !was_up && known.up(now) && known.warm_at < now + brief {
             // It may have started anew before the list tells.
             (known.cold_from, known.warm_at) = (now, now + brief);
         }
@@ -441,7 +451,7 @@
     fn review(&mut self, now: Duration) {
         let contract = self.contract();
         let mut fresh = Tally::default();
-        for known in self.servers.values().filter(|known| known.up()) {
+        for known in self.servers.values().filter(|known| known.up(now)) {
             fresh.add(known.fresh);
         }
         self.fleet.fade(FADE);
@@ -457,13 +467,14 @@
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
             let others =
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
-            if known.up()
+            if known.up(now)
                 && seen.failed >= f64::from(FALL)
                 && seen.failing() > FAILING
                 && others.failing() < SOUND
             {
                 moves.push((*server, -(FALL as i32)));
                 known.doubts += 1;
+                known.answers_until = now;
                 known.doubted_until = now + RESEND * known.doubts.min(4);
                 known.heed_from = known.doubted_until + settle;
                 self.notes.push_back(format!(
@@ -615,12 +626,12 @@
         let cold_share = self.terms.number("rules.cold_share").unwrap_or(1.0);
         let full = |known: &Known| grid(known.listing.weight * known.relief * known.warmth(now, cold_share));
         let usable = |known: &Known| known.serves(terms) && !known.barred(&self.terms);
-        let any_up = self.servers.values().any(|known| usable(known) && known.up());
+        let any_up = self.servers.values().any(|known| usable(known) && known.up(now));
         let held = |server: &Server| self.published[class].get(server).copied().unwrap_or(0.0);
         let any_held = self.servers.iter().any(|(server, known)| usable(known) && held(server) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
-            (true, _) if known.up() => full(known),
+            (true, _) if known.up(now) => full(known),
             (true, _) => 0.0,
             // All look down: the last table stays, but for what is cold now.
             (false, true) => held(server).min(full(known)),
@@ -754,6 +765,7 @@
             listing,
             counter: None,
             probe_sent: None,
+            answers_until: Duration::ZERO,
             cold_from,
             warm_at,
             relief: 1.0,
@@ -767,8 +779,10 @@
         }
     }
 
-    fn up(&self) -> bool {
-        self.counter.is_some_and(|counter| counter >= RISE)
+    /// The counter decides, but a server that still answers proxies stays up whatever its probes say:
+    /// in a jam probes time out at one server after another, and each that goes loads the rest.
+    fn up(&self, now: Duration) -> bool {
+        self.counter.is_some_and(|counter| counter >= RISE || now < self.answers_until)
     }
 
     fn barred(&self, terms: &Terms) -> bool {
