--- a/src/logic.rs
+++ b/src/logic.rs
@@ -624,18 +624,26 @@
     fn desired(&self, now: Duration, class: Class) -> BTreeMap<Server, f64> {
         let terms = &self.classes[class];
         let cold_share = self.terms.number("rules.cold_share").unwrap_or(1.0);
-        let full = |known: &Known| grid(known.listing.weight * known.relief * known.warmth(now, cold_share));
+        // Proxies that are turned away elsewhere all come to a server that was just started: while the
+        // fleet is late it gets less than its share, and nothing once failures are the rule.
+        let calm = ((1.0 - self.fleet.lateness(self.contract())) / (1.0 - LATE)).clamp(0.0, 1.0);
+        let share =
+            |known: &Known| known.warmth(now, cold_share) * if now < known.warm_at { calm } else { 1.0 };
         let usable = |known: &Known| known.serves(terms) && !known.barred(&self.terms);
-        let any_up = self.servers.values().any(|known| usable(known) && known.up(now));
+        let full = |known: &Known| grid(known.listing.weight * known.relief * share(known));
         let held = |server: &Server| self.published[class].get(server).copied().unwrap_or(0.0);
-        let any_held = self.servers.iter().any(|(server, known)| usable(known) && held(server) > 0.0);
+        let any = |test: &dyn Fn(&Server, &Known) -> bool| {
+            self.servers.iter().any(|(s, k)| usable(k) && test(s, k))
+        };
+        let any_up = any(&|_, known| known.up(now) && full(known) > 0.0);
+        let any_held = any(&|server, known| held(server) > 0.0 && full(known) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
             (true, _) if known.up(now) => full(known),
             (true, _) => 0.0,
             // All look down: the last table stays, but for what is cold now.
             (false, true) => held(server).min(full(known)),
-            (false, false) => full(known),
+            (false, false) => grid(known.listing.weight * known.warmth(now, cold_share)),
         };
         self.servers.iter().map(|(server, known)| (*server, weight(server, known))).collect()
     }
