--- a/src/logic.rs
+++ b/src/logic.rs
@@ -154,6 +154,8 @@
     probes: VecDeque<Server>,
     notes: VecDeque<String>,
     released: Vec<bool>,
+    /// Tables that are complete: a proxy was bound to them.
+    laid: Vec<bool>,
     /// What the tables hold, by class, and what is let in of each class.
     published: Vec<BTreeMap<Server, f64>>,
     admitted: Vec<Option<(f64, SecondTry)>>,
@@ -215,6 +217,7 @@
             probes: VecDeque::new(),
             notes: VecDeque::new(),
             released: vec![false; count],
+            laid: vec![false; count],
             published: vec![BTreeMap::new(); count],
             admitted: vec![None; count],
             admission: 1.0,
@@ -517,11 +520,18 @@
 
     // Drains and removals first, hold or not: no proxy may send there past the grace.
     fn withdrawal(&mut self, now: Duration) -> Option<Decision> {
-        let wanted = |known: &Known| known.barred(&self.terms) != known.withdrawn;
+        // While a proxy holds tables of before, it would send a cold server all of its weight: such a
+        // server is kept from it during the hold, and no withdrawal ends before all are bound.
+        let held = self.released.contains(&false);
+        let unbound = self.proxies.values().any(|joined| joined.bound.contains(&false));
+        let wanted = |known: &Known| match known.barred(&self.terms) || held && known.warm_at > now {
+            true => !known.withdrawn,
+            false => known.withdrawn && !unbound,
+        };
         let (server, known) = self.servers.iter().find(|(_, known)| wanted(known))?;
         let (server, withdrawn) = (*server, !known.withdrawn);
         // A server comes back at its cold share, never at the weight it left with.
-        if !withdrawn && self.released.contains(&true) {
+        if !withdrawn {
             let class = (0..self.classes.len()).find(|class| self.off(now, *class, server) != 0.0);
             if let Some(class) = class {
                 return self.weigh(now, class, server, BINDING);
@@ -603,6 +613,7 @@
                 let lines = 2 + self.published[class].len() + withdrawn;
                 if self.spend_on(now, lines as f64, &[proxy], BINDING).is_some() {
                     self.proxies.get_mut(&proxy)?.bound[class] = true;
+                    self.laid[class] = true;
                     return Some(Decision::Bind { class, proxy });
                 }
             }
@@ -615,7 +626,7 @@
         let serving = self.servers.values().filter(|known| known.serves(&self.classes[class]));
         let (near, far): (Vec<_>, Vec<_>) = serving.partition(|known| known.listing.zone == zone);
         let pool: Vec<_> = if near.len() >= 3 { near } else { near.into_iter().chain(far).collect() };
-        let barred = pool.iter().filter(|known| known.barred(&self.terms)).count();
+        let barred = pool.iter().filter(|known| known.withdrawn).count();
         let standing = self.terms.number("fleet.standing").unwrap_or(0.0) as usize;
         barred > 0 && barred >= pool.len().min(standing)
     }
@@ -631,15 +642,17 @@
             |known: &Known| known.warmth(now, cold_share) * if now < known.warm_at { calm } else { 1.0 };
         let usable = |known: &Known| known.serves(terms) && !known.barred(&self.terms);
         let full = |known: &Known| grid(known.listing.weight * known.relief * share(known));
+        // A table that had to be laid early counts on all that are not known to be down.
+        let up = |known: &Known| known.up(now) || known.counter.is_none() && now < HOLD_LEAST;
         let held = |server: &Server| self.published[class].get(server).copied().unwrap_or(0.0);
         let any = |test: &dyn Fn(&Server, &Known) -> bool| {
             self.servers.iter().any(|(s, k)| usable(k) && test(s, k))
         };
-        let any_up = any(&|_, known| known.up(now) && full(known) > 0.0);
-        let any_held = any(&|server, known| held(server) > 0.0 && full(known) > 0.0);
+        let any_up = any(&|_, known| up(known) && full(known) > 0.0);
+        let any_held = self.laid[class] && any(&|server, known| held(server) > 0.0 && full(known) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
-            (true, _) if known.up(now) => full(known),
+            (true, _) if up(known) => full(known),
             (true, _) => 0.0,
             // All look down: the last table stays, but for what is cold now.
             (false, true) => held(server).min(full(known)),
