--- a/src/logic.rs
+++ b/src/logic.rs
@@ -635,9 +635,14 @@
     fn desired(&self, now: Duration, class: Class) -> BTreeMap<Server, f64> {
         let terms = &self.classes[class];
         let cold_share = self.terms.number("rules.cold_share").unwrap_or(1.0);
-        // Proxies that are turned away elsewhere all come to a server that was just started: while the
-        // fleet is late it gets less than its share, and nothing once failures are the rule.
-        let calm = ((1.0 - self.fleet.lateness(self.contract())) / (1.0 - LATE)).clamp(0.0, 1.0);
+        // Proxies that are turned away elsewhere, or shun the servers that failed them, all come to one
+        // that was just started, however small its weight. While the fleet is late it gets less than
+        // its share, and nothing while failures are common or no report tells how the fleet does.
+        let late = self.fleet.lateness(self.contract());
+        let calm = match self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND {
+            true => ((1.0 - late) / (1.0 - LATE)).clamp(0.0, 1.0),
+            false => 0.0,
+        };
         let share =
             |known: &Known| known.warmth(now, cold_share) * if now < known.warm_at { calm } else { 1.0 };
         let usable = |known: &Known| known.serves(terms) && !known.barred(&self.terms);
