--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,9 +64,6 @@
 const DRAINING: f64 = 0.95;
 /// The channel is taken to send this many times slower than stated: on bad days it does.
 const SLOWEST: f64 = 8.0;
-/// A server that comes back without news of a start warms up within this share of the stated time.
-const RETURN: f64 = 0.25;
-
 /// Tries that proxies made, summed up.
 #[derive(Clone, Copy, Default)]
 struct Tally {
@@ -425,20 +422,13 @@
 
     /// Moves a server's counter by so many results.
     fn moved(&mut self, now: Duration, server: Server, by: i32) {
-        let brief = self.warm_within().mul_f64(RETURN);
         let Some(known) = self.servers.get_mut(&server) else { return };
-        let was_up = known.up(now);
-        let never = known.counter.is_none();
         let counter = match known.counter {
             None if by > 0 => TOP,
             None => 0,
             Some(counter) => counter.saturating_add_signed(by).min(TOP),
         };
         known.counter = Some(counter);
-        if !never && !was_up && known.up(now) && known.warm_at < now + brief {
-            // It may have started anew before the list tells.
-            (known.cold_from, known.warm_at) = (now, now + brief);
-        }
         // The interval follows the counter at once.
         if counter != 0 && counter != TOP {
             let soon = now + PROBE_BETWEEN;
