--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,8 +54,9 @@
 const RELIEF_LEAST: f64 = 0.05;
 /// What at least stays let in after one step, how it grows back in one, and what always stays.
 const SHED_STEP: f64 = 0.6;
-const SHED_BACK: f64 = 1.25;
-const ADMIT_LEAST: f64 = 0.3;
+const SHED_BACK: f64 = 1.5;
+const LEVEL_STEP: f64 = 0.05;
+const ADMIT_LEAST: f64 = 0.1;
 /// What a report adds fades by this share each report period.
 const FADE: f64 = 0.5;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
@@ -156,9 +157,9 @@
     /// What the tables hold, by class, and what is let in of each class.
     published: Vec<BTreeMap<Server, f64>>,
     admitted: Vec<Option<(f64, SecondTry)>>,
-    /// Share of the work that is let in.
-    admission: f64,
-    admission_moved: Duration,
+    /// Share of each class that should be let in.
+    levels: Vec<f64>,
+    levels_moved: Duration,
     fleet: Tally,
     /// Visits that came of each class of late.
     demand: Vec<f64>,
@@ -217,8 +218,8 @@
             laid: vec![false; count],
             published: vec![BTreeMap::new(); count],
             admitted: vec![None; count],
-            admission: 1.0,
-            admission_moved: Duration::ZERO,
+            levels: vec![1.0; count],
+            levels_moved: Duration::ZERO,
             fleet: Tally::default(),
             demand: vec![0.0; count],
             next_beat: Duration::ZERO,
@@ -482,7 +483,7 @@
                 continue;
             }
             let late = known.recent.lateness(contract);
-            if late > LATE && late > WORSE * fleet_late {
+            if late > LATE && late > fleet_late {
                 known.relief = (known.relief * (LATE / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
                 known.relief_moved = now;
             } else if late < ROOM && known.relief < 1.0 {
@@ -495,17 +496,53 @@
                 self.moved(now, server, by);
             }
         }
-        if now >= self.admission_moved + settle && self.fleet.tries > 0.0 {
-            let was = self.admission;
-            if fleet_late > LATE {
-                self.admission = (was * (LATE / fleet_late).max(SHED_STEP)).max(ADMIT_LEAST);
-            } else if fleet_late < ROOM {
-                self.admission = (was * SHED_BACK).min(1.0);
-            }
-            if was != self.admission {
-                self.admission_moved = now;
+        self.shed(now);
+    }
+
+    /// Classes whose servers are late are let in less, the least earnings per work first (work taken
+    /// as contract time); they come back as their servers find time again.
+    fn shed(&mut self, now: Duration) {
+        if now < self.levels_moved + self.settle() {
+            return;
+        }
+        let was = self.levels.clone();
+        let late: Vec<f64> = (0..self.classes.len()).map(|class| self.lateness(class)).collect();
+        let work = |class: Class| self.classes[class].contract * self.demand[class].max(1e-9);
+        let mut order: Vec<Class> = (0..self.classes.len()).collect();
+        order.sort_by(|a, b| self.classes[*a].rank().total_cmp(&self.classes[*b].rank()));
+        let worst = late.iter().fold(LATE, |a, b| a.max(*b));
+        let suffering = |class: &Class| late[*class] > LATE;
+        let mut out: f64 = order.iter().filter(|c| suffering(c)).map(|c| work(*c) * was[*c]).sum();
+        out *= 1.0 - (LATE / worst).max(SHED_STEP);
+        for class in order {
+            let level = if suffering(&class) {
+                let cut = out.min(work(class) * (was[class] - ADMIT_LEAST).max(0.0));
+                out -= cut;
+                was[class] - cut / work(class)
+            } else if late[class] < ROOM {
+                (was[class] * (LATE / late[class]).min(SHED_BACK)).min(1.0)
+            } else {
+                was[class]
+            };
+            self.levels[class] = level;
+        }
+        if was != self.levels {
+            self.levels_moved = now;
+        }
+    }
+
+    /// How late the servers of a class are, by the part that each has in its table.
+    fn lateness(&self, class: Class) -> f64 {
+        let contract = self.contract();
+        let (mut all, mut sum) = (0.0, 0.0);
+        for (server, weight) in &self.published[class] {
+            let recent = self.servers[server].recent;
+            if recent.tries >= 1.0 && !self.servers[server].withdrawn {
+                all += weight;
+                sum += weight * recent.lateness(contract);
             }
         }
+        if all > 0.0 { sum / all } else { 0.0 }
     }
 
     // Drains and removals first, hold or not: no proxy may send there past the grace.
@@ -575,9 +612,14 @@
     }
 
     fn admit(&mut self, now: Duration) -> Option<Decision> {
-        let levels = self.levels();
-        let class = (0..levels.len()).find(|c| self.released[*c] && Some(levels[*c]) != self.admitted[*c])?;
-        let (share, second) = levels[class];
+        let wanted = |class: Class| {
+            let level = (self.levels[class] / LEVEL_STEP).round() * LEVEL_STEP;
+            let calm = level >= 1.0 && self.lateness(class) < LATE;
+            (grid(level), if calm { SecondTry::IfNeverRan } else { SecondTry::Never })
+        };
+        let differs = |class: &Class| self.released[*class] && Some(wanted(*class)) != self.admitted[*class];
+        let class = (0..self.classes.len()).find(differs)?;
+        let (share, second) = wanted(class);
         self.spend(now, 1.0, Some(class), COMMON)?;
         self.admitted[class] = Some((share, second));
         Some(Decision::Admit { class, share, second })
@@ -673,24 +715,6 @@
         Some(Decision::Weigh { class, server, weight })
     }
 
-    /// What is let in of each class: the least earnings per work, taken as earnings per contract
-    /// time, stay out first.
-    fn levels(&self) -> Vec<(f64, SecondTry)> {
-        let work: Vec<f64> = self.classes.iter().zip(&self.demand).map(|(c, d)| c.contract * d).collect();
-        let all: f64 = work.iter().sum();
-        let mut out = (1.0 - self.admission) * all;
-        let mut order: Vec<Class> = (0..self.classes.len()).collect();
-        order.sort_by(|a, b| self.classes[*a].rank().total_cmp(&self.classes[*b].rank()));
-        let calm = self.admission == 1.0 && self.fleet.lateness(self.contract()) < LATE;
-        let mut levels: Vec<_> = self.classes.iter().map(|class| (1.0, class.second(calm))).collect();
-        for class in order {
-            let refused = (out / work[class].max(1e-9)).clamp(0.0, 1.0 - ADMIT_LEAST / 3.0);
-            levels[class].0 = grid(1.0 - (refused * 20.0).round() / 20.0);
-            out -= refused * work[class];
-        }
-        levels
-    }
-
     /// Takes lines off the budget for each proxy that is on the table, or for all that are joined.
     fn spend(&mut self, now: Duration, lines: f64, class: Option<Class>, part: f64) -> Option<()> {
         let on = |joined: &Joined| class.is_none_or(|class| joined.bound[class]);
@@ -769,10 +793,6 @@
     fn rank(&self) -> f64 {
         self.earnings / self.contract
     }
-
-    fn second(&self, calm: bool) -> SecondTry {
-        if calm { SecondTry::IfNeverRan } else { SecondTry::Never }
-    }
 }
 
 impl Known {
