--- a/src/logic.rs
+++ b/src/logic.rs
@@ -115,6 +115,7 @@
     doubted_until: Duration,
     doubts: u32,
     fresh: Tally,
+    last: Tally,
     recent: Tally,
     withdrawn: bool,
 }
@@ -458,6 +459,7 @@
             let seen = std::mem::take(&mut known.fresh);
             known.recent.fade(FADE);
             known.recent.add(seen);
+            known.last = seen;
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
             let others =
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
@@ -536,10 +538,10 @@
         let contract = self.contract();
         let (mut all, mut sum) = (0.0, 0.0);
         for (server, weight) in &self.published[class] {
-            let recent = self.servers[server].recent;
-            if recent.tries >= 1.0 && !self.servers[server].withdrawn {
+            let last = self.servers[server].last;
+            if last.tries >= 1.0 && !self.servers[server].withdrawn {
                 all += weight;
-                sum += weight * recent.lateness(contract);
+                sum += weight * last.lateness(contract);
             }
         }
         if all > 0.0 { sum / all } else { 0.0 }
@@ -768,7 +770,7 @@
 
     /// How long it takes until reports tell of a change.
     fn settle(&self) -> Duration {
-        self.period() * 2 + self.terms.time("fleet.message_delay_us").unwrap_or_default()
+        self.period().mul_f64(1.5) + self.terms.time("fleet.message_delay_us").unwrap_or_default()
     }
 
     fn warm_within(&self) -> Duration {
@@ -810,6 +812,7 @@
             doubted_until: Duration::ZERO,
             doubts: 0,
             fresh: Tally::default(),
+            last: Tally::default(),
             recent: Tally::default(),
             withdrawn: false,
         }
