Relieve only servers far worse than the fleet, and not below three tenths

Relief thrashed in jams: every server a little above the mean lost half, and the rest jammed in turn.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,14 +47,14 @@
 const LATE: f64 = 0.5;
 const ROOM: f64 = 0.35;
 /// A server is late on its own only if it is so much worse than the fleet.
-const WORSE: f64 = 1.25;
+const WORSE: f64 = 1.6;
 /// One step of relief takes at most this much, one step back gives so much.
 const RELIEF_DROP: f64 = 0.5;
 const RELIEF_BACK: f64 = 0.04;
-const RELIEF_LEAST: f64 = 0.05;
+const RELIEF_LEAST: f64 = 0.3;
 /// What at least stays let in after one step, how it grows back in one, and what always stays.
 const SHED_STEP: f64 = 0.6;
-const SHED_BACK: f64 = 1.5;
+const SHED_BACK: f64 = 2.0;
 const LEVEL_STEP: f64 = 0.05;
 const ADMIT_LEAST: f64 = 0.1;
 /// What a report adds fades by this share each report period.
@@ -485,8 +485,9 @@
                 continue;
             }
             let late = known.recent.lateness(contract);
-            if late > LATE && late > fleet_late {
-                known.relief = (known.relief * (LATE / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
+            let bearable = LATE.max(fleet_late * WORSE);
+            if late > bearable {
+                known.relief = (known.relief * (bearable / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
                 known.relief_moved = now;
             } else if late < ROOM && known.relief < 1.0 {
                 known.relief = (known.relief + RELIEF_BACK).min(1.0);
