--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,8 +55,6 @@
 /// What at least stays let in after one step, how it grows back in one, and what always stays.
 const SHED_STEP: f64 = 0.6;
 const SHED_BACK: f64 = 2.0;
-const BRINK: f64 = 0.8;
-const WAIT: f64 = 1.0;
 const LEVEL_STEP: f64 = 0.05;
 const ADMIT_LEAST: f64 = 0.1;
 /// What a report adds fades by this share each report period.
@@ -163,9 +161,6 @@
     /// Share of each class that should be let in.
     levels: Vec<f64>,
     levels_moved: Duration,
-    /// The level of each class from which it had to be cut of late, and whether it still is.
-    brink: Vec<f64>,
-    cutting: Vec<bool>,
     fleet: Tally,
     /// Visits that came of each class of late.
     demand: Vec<f64>,
@@ -226,8 +221,6 @@
             admitted: vec![None; count],
             levels: vec![1.0; count],
             levels_moved: Duration::ZERO,
-            brink: vec![1.0; count],
-            cutting: vec![false; count],
             fleet: Tally::default(),
             demand: vec![0.0; count],
             next_beat: Duration::ZERO,
@@ -512,8 +505,7 @@
     /// Classes whose servers are late are let in less, the least earnings per work first (work taken
     /// as contract time); they come back as their servers find time again.
     fn shed(&mut self, now: Duration) {
-        // What is answered now set out about a contract time ago.
-        if now < self.levels_moved + self.settle() + Duration::from_secs_f64(WAIT * self.contract()) {
+        if now < self.levels_moved + self.settle() {
             return;
         }
         let was = self.levels.clone();
@@ -527,19 +519,12 @@
         out *= 1.0 - (LATE / worst).max(SHED_STEP);
         for class in order {
             let level = if suffering(&class) {
-                // Only the first cut of a row says how much was too much: the next ones act on old news.
-                if !std::mem::replace(&mut self.cutting[class], true) {
-                    self.brink[class] = was[class];
-                }
                 let cut = out.min(work(class) * (was[class] - ADMIT_LEAST).max(0.0));
                 out -= cut;
                 was[class] - cut / work(class)
             } else if late[class] < ROOM {
-                self.cutting[class] = false;
-                let quick = (was[class] * (LATE / late[class]).min(SHED_BACK)).min(self.brink[class] * BRINK);
-                quick.max(was[class] + LEVEL_STEP).min(1.0)
+                (was[class] * (LATE / late[class]).min(SHED_BACK)).min(1.0)
             } else {
-                self.cutting[class] = false;
                 was[class]
             };
             self.levels[class] = level;
