--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,8 +42,6 @@
 /// Share of failed tries from which a server is taken to be down, and below which it is well.
 const FAILING: f64 = 0.85;
 const SOUND: f64 = 0.2;
-/// So many tries due without one that ended mean that a server is silent.
-const SILENT: f64 = 8.0;
 /// Mean time over contract time from which a server or the fleet counts as late, and below which
 /// there is room again.
 const LATE: f64 = 0.5;
@@ -120,9 +118,6 @@
     last: Tally,
     recent: Tally,
     withdrawn: bool,
-    /// Tries that should have ended there since the last one that did, once its weight has settled.
-    missed: f64,
-    settled_at: Duration,
 }
 
 struct Joined {
@@ -460,7 +455,6 @@
         let fleet_late = self.fleet.lateness(contract);
         let settle = self.settle();
         let mut moves = Vec::new();
-        let parts = self.parts();
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
             known.recent.fade(FADE);
@@ -469,23 +463,20 @@
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
             let others =
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
-            // A server from which nothing comes back at all is known before its first tries time out.
-            known.missed = match seen.tries == 0.0 && now >= known.settled_at + settle {
-                true => known.missed + fresh.tries * parts[server],
-                false => 0.0,
-            };
-            let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
-            if known.up(now) && others.failing() < SOUND && (fails || known.missed >= SILENT) {
-                let text = match fails {
-                    true => format!("fails {:.0} of {:.0} tries", seen.failed, seen.tries),
-                    false => format!("is silent where {:.0} tries were due", known.missed),
-                };
-                self.notes.push_back(format!("server {server} {text}"));
+            if known.up(now)
+                && seen.failed >= f64::from(FALL)
+                && seen.failing() > FAILING
+                && others.failing() < SOUND
+            {
                 moves.push((*server, -(FALL as i32)));
                 known.doubts += 1;
                 known.answers_until = now;
                 known.doubted_until = now + RESEND * known.doubts.min(4);
                 known.heed_from = known.doubted_until + settle;
+                self.notes.push_back(format!(
+                    "server {server} fails {:.0} of {:.0} tries",
+                    seen.failed, seen.tries
+                ));
             } else if seen.tries >= f64::from(RISE) && seen.failing() < SOUND && now >= known.doubted_until {
                 moves.push((*server, RISE as i32));
             }
@@ -543,19 +534,6 @@
         }
     }
 
-    /// The part of all visits that each server should have by the tables.
-    fn parts(&self) -> BTreeMap<Server, f64> {
-        let visits: f64 = self.demand.iter().sum::<f64>().max(1e-9);
-        let mut parts: BTreeMap<Server, f64> = self.servers.keys().map(|server| (*server, 0.0)).collect();
-        for (class, table) in self.published.iter().enumerate() {
-            let all: f64 = table.values().sum();
-            for (server, weight) in table {
-                *parts.entry(*server).or_default() += weight / all * self.demand[class] / visits;
-            }
-        }
-        parts
-    }
-
     /// How late the servers of a class are, by the part that each has in its table.
     fn lateness(&self, class: Class) -> f64 {
         let contract = self.contract();
@@ -733,9 +711,7 @@
         let weight = *self.desired(now, class).get(&server)?;
         self.spend(now, 1.0, Some(class), part)?;
         if weight > 0.0 {
-            if self.published[class].insert(server, weight).is_none() {
-                self.servers.get_mut(&server)?.settled_at = now;
-            }
+            self.published[class].insert(server, weight);
         } else {
             self.published[class].remove(&server);
         }
@@ -840,8 +816,6 @@
             last: Tally::default(),
             recent: Tally::default(),
             withdrawn: false,
-            missed: 0.0,
-            settled_at: Duration::ZERO,
         }
     }
 
