--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -188,20 +188,20 @@
                 let wait = line.time("mean time")?;
                 let failed = line.number("failed tries")?;
                 line.word("zone")?;
-                let span = line.time("period")?;
+                line.time("period")?;
                 let server = instance.servers.index(line.word("server")?);
                 line.word("load report")?;
-                instance.guard(|pilot| pilot.reported(now, server, tries, failed, wait, span));
+                instance.guard(|pilot| pilot.reported(now, server, tries, failed, wait));
             }
             "PROXY_STATS" => {
                 line.number::<u64>("unanswered")?;
-                let span = line.time("period")?;
+                line.time("period")?;
                 let class = line.word("class")?;
                 let class =
                     position(&instance.classes, class).ok_or_else(|| format!("unknown class {class:?}"))?;
                 line.number::<u32>("proxy")?;
                 let visits = line.number("visits")?;
-                instance.guard(|pilot| pilot.counted(class, visits, span));
+                instance.guard(|pilot| pilot.counted(class, visits));
             }
             "HEALTH_RESULT" => {
                 let server = instance.servers.index(line.word("server")?);
@@ -362,7 +362,7 @@
             }
             return;
         }
-        let Some(due) = self.guard(|pilot| pilot.next_due()).flatten() else { return };
+        let Some(due) = self.guard(|pilot| pilot.next_due()) else { return };
         let due = (due + self.born).max(clock);
         if self.timer.is_none_or(|timer| due < timer) {
             self.timer = Some(due);
@@ -387,11 +387,13 @@
                 let second = match second {
                     SecondTry::Never => 0,
                     SecondTry::IfNeverRan => 1,
-                    SecondTry::AfterAnyFailure => 2,
                 };
                 line(reply, format_args!("GATE_CLASS {number} {class} {} {share} {second}", 1u64 << class))
             }
-            Decision::Note(text) => line(reply, format_args!("NOTE_DOWN {number} {text}")),
+            Decision::Note { about: Some(server), text } => {
+                line(reply, format_args!("NOTE_DOWN {number} {} {text}", name(server)))
+            }
+            Decision::Note { about: None, text } => line(reply, format_args!("NOTE_DOWN {number} {text}")),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 pub type Class = usize;
 
 /// What the list of servers says of one server.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Listing {
     pub server: Server,
     pub zone: Zone,
@@ -29,8 +29,9 @@
     pub age: Option<Duration>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
+    #[default]
     Ready,
     Draining,
     Gone,
@@ -55,8 +56,6 @@
     Never,
     /// One more, after proof that the first never ran.
     IfNeverRan,
-    /// One more, after any failure.
-    AfterAnyFailure,
 }
 
 /// One decision, to be carried out by the host before it asks for the next. All decisions given
@@ -73,6 +72,6 @@
     Withdraw { server: Server, withdrawn: bool },
     /// Let in this share of a class's visits, and say when proxies try a second time.
     Admit { class: Class, share: f64, second: SecondTry },
-    /// Tell the people on call.
-    Note(String),
+    /// Tell the people on call, of one server or in general.
+    Note { about: Option<Server>, text: String },
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,17 +10,17 @@
 //! is pushed until probes converge. Beside it stand six mechanisms:
 //! 1. Evidence: what proxies met at a server moves its counter too, up and down.
 //! 2. Relief: an up server that misses the contract time drops in weight and regains it slowly.
-//! 3. Return: a server that comes back starts from the stated cold share.
+//! 3. Return: a server that was just started begins with the stated cold share, or with none.
 //! 4. Pace: one budget for the queue and the message limit, with room kept for drains.
 //! 5. Admission: when the fleet as a whole is late, the least earnings per work stay out.
-//! 6. Second tries: after any failure where no effect can happen twice and there is headroom.
+//! 6. Second tries: after proof that the first never ran, and only while there is headroom.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use nanorand::{Rng, WyRand};
 
-use crate::{Class, Decision, Finding, Listed, Listing, Proxy, SecondTry, Server, Terms, Zone};
+use crate::{Class, Decision, Finding, Kind, Listed, Listing, Proxy, SecondTry, Server, Terms, Zone};
 
 // The design's figures, from its page.
 const RISE: u32 = 2;
@@ -59,12 +59,17 @@
 const ADMIT_LEAST: f64 = 0.1;
 /// What a report adds fades by this share each report period.
 const FADE: f64 = 0.5;
+/// Reports tell of a change after so many report periods and the way of a message.
+const SETTLE: f64 = 1.5;
+/// A condemned server is left alone for one resend interval, then for up to so many.
+const DOUBTS_MOST: u32 = 4;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
 const COMMON: f64 = 0.5;
 const BINDING: f64 = 0.75;
 const DRAINING: f64 = 0.95;
 /// The channel is taken to send this many times slower than stated: on bad days it does.
 const SLOWEST: f64 = 8.0;
+
 /// Tries that proxies made, summed up.
 #[derive(Clone, Copy, Default)]
 struct Tally {
@@ -75,15 +80,11 @@
 }
 
 impl Tally {
-    fn add(&mut self, other: Tally) {
-        self.tries += other.tries;
-        self.failed += other.failed;
-        self.answered += other.answered;
-    }
-
-    fn fade(&mut self, keep: f64) {
-        *self =
-            Tally { tries: self.tries * keep, failed: self.failed * keep, answered: self.answered * keep };
+    /// This, and `keep` of what was before.
+    fn over(self, before: Tally, keep: f64) -> Tally {
+        let sum = |new: f64, old: f64| new + old * keep;
+        let answered = sum(self.answered, before.answered);
+        Tally { tries: sum(self.tries, before.tries), failed: sum(self.failed, before.failed), answered }
     }
 
     fn failing(&self) -> f64 {
@@ -97,6 +98,7 @@
 }
 
 /// All that is known of a server.
+#[derive(Default)]
 struct Known {
     listing: Listing,
     /// `None` until the first result.
@@ -104,22 +106,54 @@
     probe_sent: Option<Duration>,
     /// Reports show that it answered tries; the next report is due by this time.
     answers_until: Duration,
-    /// It warms up between these times.
-    cold_from: Duration,
+    /// Its process started at the one time, and is warm by the other.
+    started: Duration,
     warm_at: Duration,
+    /// Share of its weight that relief leaves it.
     relief: f64,
     relief_moved: Duration,
     /// Reports before this time tell of the server as it was before it started or came back.
     heed_from: Duration,
-    /// Condemned by reports: passing probes don't count before this time.
-    doubted_until: Duration,
+    /// Condemned by reports so many times; passing probes don't count before this time.
     doubts: u32,
+    doubted_until: Duration,
+    /// What reports told since the last review, in the period before it, and of late.
     fresh: Tally,
     last: Tally,
     recent: Tally,
     withdrawn: bool,
 }
 
+impl Known {
+    /// The counter decides, but a server that still answers proxies stays up whatever its probes say:
+    /// in a jam probes time out at one server after another, and each that goes loads the rest.
+    fn up(&self, now: Duration) -> bool {
+        self.counter.is_some_and(|counter| counter >= RISE || now < self.answers_until)
+    }
+
+    fn barred(&self, terms: &Terms) -> bool {
+        match self.listing.state {
+            Listed::Ready => false,
+            Listed::Draining => true,
+            Listed::Gone => !terms.flag("rules.only_draining_binds"),
+        }
+    }
+
+    fn cold(&self, now: Duration) -> bool {
+        now < self.warm_at
+    }
+
+    /// The share of its work that it can surely do, growing evenly from the cold share.
+    fn warmth(&self, now: Duration, terms: &Terms) -> f64 {
+        if !self.cold(now) {
+            return 1.0;
+        }
+        let cold_share = terms.number("rules.cold_share").unwrap_or(1.0);
+        let part = (now - self.started.min(now)).div_duration_f64(self.warm_at - self.started);
+        cold_share + (1.0 - cold_share) * part
+    }
+}
+
 struct Joined {
     zone: Zone,
     /// By class.
@@ -128,13 +162,38 @@
     messages: VecDeque<Duration>,
 }
 
-struct ClassTerms {
+/// A class and its table.
+struct Table {
     contract: f64,
     earnings: f64,
     zones: Option<Vec<Zone>>,
-    kinds: Option<Vec<usize>>,
-    /// Nothing happens twice if any failed try is followed by another.
-    repeatable: bool,
+    kinds: Option<Vec<Kind>>,
+    released: bool,
+    /// It is complete: a proxy was bound to it.
+    laid: bool,
+    /// What was published: weights, and what is let in.
+    lines: BTreeMap<Server, f64>,
+    admitted: Option<(f64, SecondTry)>,
+    /// Share of the class that should be let in.
+    level: f64,
+    /// Visits that came of late.
+    demand: f64,
+}
+
+impl Table {
+    fn serves(&self, listing: &Listing) -> bool {
+        let zone = self.zones.as_ref().is_none_or(|zones| zones.contains(&listing.zone));
+        zone && self.kinds.as_ref().is_none_or(|kinds| kinds.contains(&listing.kind))
+    }
+
+    fn held(&self, server: Server) -> f64 {
+        self.lines.get(&server).copied().unwrap_or(0.0)
+    }
+
+    /// Earnings per work; how much work a visit is, is not known, but its contract time tells.
+    fn rank(&self) -> f64 {
+        self.earnings / self.contract
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -146,93 +205,69 @@
 pub struct Pilot {
     terms: Terms,
     chance: WyRand,
-    classes: Vec<ClassTerms>,
+    tables: Vec<Table>,
     servers: BTreeMap<Server, Known>,
     proxies: BTreeMap<Proxy, Joined>,
+    /// All due times but that of the beat.
     due: BTreeSet<(Duration, Due)>,
     probes: VecDeque<Server>,
-    notes: VecDeque<String>,
-    released: Vec<bool>,
-    /// Tables that are complete: a proxy was bound to them.
-    laid: Vec<bool>,
-    /// What the tables hold, by class, and what is let in of each class.
-    published: Vec<BTreeMap<Server, f64>>,
-    admitted: Vec<Option<(f64, SecondTry)>>,
-    /// Share of each class that should be let in.
-    levels: Vec<f64>,
-    levels_moved: Duration,
+    notes: VecDeque<(Option<Server>, String)>,
     fleet: Tally,
-    /// Visits that came of each class of late.
-    demand: Vec<f64>,
+    levels_moved: Duration,
+    /// The one timer, and what hangs on it.
     next_beat: Duration,
     next_review: Duration,
     next_resend: Duration,
     next_push: Duration,
-    /// Common changes may go out at this time.
+    /// Common changes may go out at this time; all that differs, or what is worth its line.
     pushing: Option<Duration>,
     resending: bool,
-    queued: f64,
-    queued_at: Duration,
+    /// Lines that wait in the channel, as far as that is known, at a time.
+    queued: (f64, Duration),
 }
 
 impl Pilot {
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let zones = terms.texts("zones");
-        let kinds = terms.texts("kinds");
-        let places = |names: &[&str], list: String| {
-            let some = terms.texts(&list);
+        // Places are numbered as the terms number them.
+        let places = |names: &str, some: String| {
+            let (names, some) = (terms.texts(names), terms.texts(&some));
             let found = some.iter().filter_map(|one| names.iter().position(|name| name == one)).collect();
             (!some.is_empty()).then_some(found)
         };
-        let classes: Vec<_> = (0..terms.count("classes"))
-            .map(|i| {
-                let name = |what: &str| format!("classes.{i}.{what}");
-                let time =
-                    |what: &str| terms.time(&name(what)).unwrap_or(Duration::from_secs(1)).as_secs_f64();
-                let contract = time("contract_time_us");
-                // A second try may set out this late; a connection may have to be opened first.
-                let wait = terms.number("fleet.second_try_after").unwrap_or(1.0) * contract;
-                let opening = terms.time("allowed.connect_timeout_us").unwrap_or_default().as_secs_f64();
-                let in_window = wait + 2.0 * opening <= time("window_us");
-                ClassTerms {
-                    contract,
-                    earnings: terms.number(&name("earnings")).unwrap_or(1.0),
-                    zones: places(&zones, name("only_zones")),
-                    kinds: places(&kinds, name("only_kinds")),
-                    repeatable: match terms.text(&name("effect")) {
-                        Some("safe") => true,
-                        Some("keyed") => terms.text(&name("dedup_scope")) == Some("all") && in_window,
-                        _ => false,
-                    },
-                }
-            })
-            .collect();
-        let count = classes.len();
+        let table = |class: Class| {
+            let name = |what: &str| format!("classes.{class}.{what}");
+            let contract = terms.time(&name("contract_time_us")).filter(|time| !time.is_zero());
+            Table {
+                contract: contract.unwrap_or(PROBE_STEADY).as_secs_f64(),
+                earnings: terms.number(&name("earnings")).unwrap_or(1.0),
+                zones: places("zones", name("only_zones")),
+                kinds: places("kinds", name("only_kinds")),
+                released: false,
+                laid: false,
+                lines: BTreeMap::new(),
+                admitted: None,
+                level: 1.0,
+                demand: 0.0,
+            }
+        };
         Pilot {
             chance: WyRand::new_seed(seed),
+            tables: (0..terms.count("classes")).map(table).collect(),
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             due: BTreeSet::new(),
             probes: VecDeque::new(),
             notes: VecDeque::new(),
-            released: vec![false; count],
-            laid: vec![false; count],
-            published: vec![BTreeMap::new(); count],
-            admitted: vec![None; count],
-            levels: vec![1.0; count],
-            levels_moved: Duration::ZERO,
             fleet: Tally::default(),
-            demand: vec![0.0; count],
+            levels_moved: Duration::ZERO,
             next_beat: Duration::ZERO,
             next_review: Duration::ZERO,
             next_resend: RESEND,
             next_push: Duration::ZERO,
             pushing: None,
             resending: false,
-            queued: 0.0,
-            queued_at: Duration::ZERO,
+            queued: (0.0, Duration::ZERO),
             terms,
-            classes,
         }
     }
 
@@ -240,42 +275,38 @@
 
     /// The list of servers changed; `full` says that it is complete.
     pub fn listed(&mut self, now: Duration, full: bool, entries: &[Listing]) {
-        if full {
-            let missing = |server: &Server| !entries.iter().any(|entry| entry.server == *server);
-            for (_, known) in self.servers.iter_mut().filter(|(server, _)| missing(server)) {
-                known.listing.state = Listed::Gone;
-            }
+        let missing = |server: &Server| !entries.iter().any(|entry| entry.server == *server);
+        for (_, known) in self.servers.iter_mut().filter(|(server, _)| full && missing(server)) {
+            known.listing.state = Listed::Gone;
         }
-        let within = self.warm_within();
+        let within = self.terms.time("rules.warm_within_us").unwrap_or_default();
+        // Where probes are not allowed, all count as having passed one.
+        let counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
         let settle = self.settle();
         for entry in entries {
-            let warm_at = entry.age.map_or(Duration::ZERO, |age| (now + within).saturating_sub(age));
-            let cold_from = now.saturating_sub(entry.age.unwrap_or(now));
-            let Some(known) = self.servers.get_mut(&entry.server) else {
-                let mut known = Known::new(*entry, cold_from, warm_at);
-                // Where probes are not allowed, all count as having passed one.
-                known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
-                self.servers.insert(entry.server, known);
-                if !self.terms.flag("allowed.probes") {
-                    continue;
-                }
-                let first = now + self.jitter(PROBE_BETWEEN, 1.0);
-                self.due.insert((first, Due::Probe(entry.server)));
-                continue;
-            };
-            let back = known.listing.state == Listed::Gone && entry.state == Listed::Ready;
+            let new = Known { listing: *entry, relief: 1.0, counter, ..Known::default() };
+            let first = now + self.jitter(PROBE_BETWEEN, 1.0);
+            let age = entry.age.unwrap_or(within);
+            let warm_at = (now + within).saturating_sub(age);
+            let before = self.servers.get(&entry.server).map(|known| known.listing.state);
+            let known = self.servers.entry(entry.server).or_insert(new);
             known.listing = *entry;
-            // A new process knows nothing of the old one's health, and is cold. Old news of a start
-            // (it may be repeated, or come after probes have found the server back) changes nothing.
-            if entry.age.is_some() && cold_from > known.cold_from && warm_at > known.warm_at || back {
-                known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
-                (known.doubted_until, known.answers_until) = (Duration::ZERO, now);
-                known.heed_from = now + settle;
-                (known.fresh, known.recent) = (Tally::default(), Tally::default());
-                self.due.insert((now, Due::Probe(entry.server)));
+            // A new process knows nothing of the old one's health, and is cold. Repeated or older news
+            // of a start changes nothing.
+            let started = entry.age.is_some() && warm_at > known.warm_at && warm_at > now;
+            if started {
+                (known.started, known.warm_at) = (now.saturating_sub(age), warm_at);
             }
-            if entry.age.is_some() {
-                (known.cold_from, known.warm_at) = (cold_from, warm_at.max(known.warm_at));
+            match before {
+                None => self.schedule(entry.server, first),
+                Some(state) if started || state == Listed::Gone && entry.state == Listed::Ready => {
+                    known.counter = counter;
+                    (known.doubted_until, known.answers_until) = (Duration::ZERO, now);
+                    (known.fresh, known.recent) = (Tally::default(), Tally::default());
+                    known.heed_from = now + settle;
+                    self.schedule(entry.server, now);
+                }
+                _ => {}
             }
         }
     }
@@ -300,40 +331,35 @@
     }
 
     /// What proxies met at a server: `took` is the mean time of the tries that were answered.
-    pub fn reported(
-        &mut self,
-        now: Duration,
-        server: Server,
-        tries: u32,
-        failed: u32,
-        took: Duration,
-        _: Duration,
-    ) {
+    pub fn reported(&mut self, now: Duration, server: Server, tries: u32, failed: u32, took: Duration) {
         let period = self.period();
-        let Some(known) = self.servers.get_mut(&server).filter(|known| now >= known.heed_from) else {
+        let Some(known) = self.servers.get_mut(&server) else { return };
+        if now < known.heed_from {
             return;
-        };
+        }
         let (tries, failed) = (f64::from(tries), f64::from(failed.min(tries)));
         if failed < tries {
             known.answers_until = now + period;
         }
-        known.fresh.add(Tally { tries, failed, answered: (tries - failed) * took.as_secs_f64() });
+        let told = Tally { tries, failed, answered: (tries - failed) * took.as_secs_f64() };
+        known.fresh = told.over(known.fresh, 1.0);
     }
 
     /// Visits of a class came to a proxy.
-    pub fn counted(&mut self, class: Class, visits: u32, _: Duration) {
-        if let Some(demand) = self.demand.get_mut(class) {
-            *demand += f64::from(visits);
+    pub fn counted(&mut self, class: Class, visits: u32) {
+        if let Some(table) = self.tables.get_mut(class) {
+            table.demand += f64::from(visits);
         }
     }
 
     /// A proxy's stream stands; it holds tables that are not this pilot's.
-    pub fn joined(&mut self, _: Duration, proxy: Proxy, zone: Zone) {
-        let bound = vec![false; self.classes.len()];
+    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
+        let bound = vec![false; self.tables.len()];
         self.proxies.insert(proxy, Joined { zone, bound, messages: VecDeque::new() });
         // Withdrawals that went out before have not reached it.
-        for known in self.servers.values_mut() {
-            known.withdrawn &= !known.barred(&self.terms);
+        let kept_out: Vec<bool> = self.servers.values().map(|known| self.kept_out(now, known)).collect();
+        for (known, kept_out) in self.servers.values_mut().zip(kept_out) {
+            known.withdrawn &= !kept_out;
         }
     }
 
@@ -344,18 +370,16 @@
     // What is decided.
 
     /// When the host should come back, if nothing becomes known before.
-    pub fn next_due(&self) -> Option<Duration> {
-        let first = self.due.first().map_or(self.next_beat, |(time, _)| *time);
-        Some(first.min(self.next_beat))
+    pub fn next_due(&self) -> Duration {
+        self.due.first().map_or(self.next_beat, |(time, _)| self.next_beat.min(*time))
     }
 
     pub fn next_decision(&mut self, now: Duration) -> Option<Decision> {
         self.pass_time(now);
-        if let Some(note) = self.notes.pop_front() {
-            return Some(Decision::Note(note));
+        if let Some((about, text)) = self.notes.pop_front() {
+            return Some(Decision::Note { about, text });
         }
         self.withdrawal(now)
-            .or_else(|| self.cooling(now))
             .or_else(|| self.change(now))
             .or_else(|| self.binding(now))
             .or_else(|| self.probes.pop_front().map(Decision::Probe))
@@ -382,11 +406,12 @@
             self.next_review = now + self.period();
             self.review(now);
         }
-        for class in 0..self.classes.len() {
-            let mut servers = self.servers.values().filter(|known| known.serves(&self.classes[class]));
-            let converged = now >= HOLD_LEAST && servers.all(|known| known.counter.is_some());
-            if converged || now >= HOLD_MOST {
-                self.released[class] = true;
+        for class in 0..self.tables.len() {
+            let mut servers = self.servers.values().filter(|known| self.tables[class].serves(&known.listing));
+            if now >= HOLD_LEAST && servers.all(|known| known.counter.is_some()) {
+                self.release(class, "all its servers have a result");
+            } else if now >= HOLD_MOST {
+                self.release(class, "the hold is over");
             }
         }
         if now >= self.next_push {
@@ -398,28 +423,35 @@
         }
     }
 
-    fn probe(&mut self, now: Duration, server: Server) {
-        let Some(known) = self.servers.get_mut(&server) else { return };
-        if !self.terms.flag("allowed.probes") {
-            return;
+    fn release(&mut self, class: Class, why: &str) {
+        if !std::mem::replace(&mut self.tables[class].released, true) {
+            self.notes.push_back((None, format!("{}: table released, {why}", self.class_name(class))));
         }
-        if known.barred(&self.terms) {
-            self.due.insert((now + PROBE_DOWN, Due::Probe(server)));
-            return;
+    }
+
+    /// Sets the time of a server's next probe, in place of the one it had.
+    fn schedule(&mut self, server: Server, time: Duration) {
+        self.due.retain(|(_, due)| *due != Due::Probe(server));
+        if self.terms.flag("allowed.probes") {
+            self.due.insert((time, Due::Probe(server)));
         }
+    }
+
+    fn probe(&mut self, now: Duration, server: Server) {
+        let Some(known) = self.servers.get_mut(&server) else { return };
         let interval = match known.counter {
+            _ if known.barred(&self.terms) => PROBE_DOWN,
             Some(0) => PROBE_DOWN,
             Some(TOP) => PROBE_STEADY,
             _ => PROBE_BETWEEN,
         };
-        if known.probe_sent.is_none() {
+        if known.probe_sent.is_none() && !known.barred(&self.terms) {
             known.probe_sent = Some(now);
             self.probes.push_back(server);
             self.due.insert((now + PROBE_WAIT, Due::ProbeLost(server)));
         }
-        self.due.retain(|(_, due)| *due != Due::Probe(server));
         let next = now + self.jitter(interval, JITTER);
-        self.due.insert((next, Due::Probe(server)));
+        self.schedule(server, next);
     }
 
     /// Moves a server's counter by so many results.
@@ -432,138 +464,121 @@
         };
         known.counter = Some(counter);
         // The interval follows the counter at once.
-        if counter != 0 && counter != TOP {
-            let soon = now + PROBE_BETWEEN;
-            let later = self.due.iter().any(|(time, due)| *due == Due::Probe(server) && *time > soon);
-            if later {
-                self.due.retain(|(_, due)| *due != Due::Probe(server));
-                self.due.insert((soon, Due::Probe(server)));
-            }
+        let soon = now + PROBE_BETWEEN;
+        let later = self.due.iter().any(|(time, due)| *due == Due::Probe(server) && *time > soon);
+        if counter != 0 && counter != TOP && later {
+            self.schedule(server, soon);
         }
     }
 
-    /// Once a report period: what proxies met moves counters, relief and admission.
+    /// Once a report period: what proxies met moves counters, relief and levels.
     fn review(&mut self, now: Duration) {
-        let contract = self.contract();
-        let mut fresh = Tally::default();
-        for known in self.servers.values().filter(|known| known.up(now)) {
-            fresh.add(known.fresh);
-        }
-        self.fleet.fade(FADE);
-        self.fleet.add(fresh);
-        self.demand.iter_mut().for_each(|demand| *demand *= 1.0 - FADE / 4.0);
-        let fleet_late = self.fleet.lateness(contract);
-        let settle = self.settle();
+        let (contract, settle) = (self.contract(), self.settle());
+        let up = self.servers.values().filter(|known| known.up(now));
+        let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
+        self.fleet = fresh.over(self.fleet, FADE);
+        self.tables.iter_mut().for_each(|table| table.demand *= 1.0 - FADE / 4.0);
+        let bearable = LATE.max(WORSE * self.fleet.lateness(contract));
         let mut moves = Vec::new();
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
-            known.recent.fade(FADE);
-            known.recent.add(seen);
-            known.last = seen;
+            (known.last, known.recent) = (seen, seen.over(known.recent, FADE));
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
             let others =
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
-            if known.up(now)
-                && seen.failed >= f64::from(FALL)
-                && seen.failing() > FAILING
-                && others.failing() < SOUND
-            {
+            let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
+            if fails && known.up(now) && others.failing() < SOUND {
                 moves.push((*server, -(FALL as i32)));
                 known.doubts += 1;
+                known.doubted_until = now + RESEND * known.doubts.min(DOUBTS_MOST);
                 known.answers_until = now;
-                known.doubted_until = now + RESEND * known.doubts.min(4);
                 known.heed_from = known.doubted_until + settle;
-                self.notes.push_back(format!(
-                    "server {server} fails {:.0} of {:.0} tries",
-                    seen.failed, seen.tries
-                ));
-            } else if seen.tries >= f64::from(RISE) && seen.failing() < SOUND && now >= known.doubted_until {
+                let text =
+                    format!("fails {:.0} of {:.0} tries, though probes may pass", seen.failed, seen.tries);
+                self.notes.push_back((Some(*server), text));
+            } else if seen.tries >= f64::from(RISE) && seen.failing() < SOUND && known.counter.is_some() {
                 moves.push((*server, RISE as i32));
             }
-            // Relief.
+            // Relief: a slow server keeps a part that it can do, and regains the rest bit by bit.
             if now < known.relief_moved + settle || known.recent.tries < f64::from(FALL) {
                 continue;
             }
-            let late = known.recent.lateness(contract);
-            let bearable = LATE.max(fleet_late * WORSE);
+            let (late, was) = (known.recent.lateness(contract), known.relief);
             if late > bearable {
-                known.relief = (known.relief * (bearable / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
-                known.relief_moved = now;
-            } else if late < ROOM && known.relief < 1.0 {
-                known.relief = (known.relief + RELIEF_BACK).min(1.0);
+                known.relief = (was * (bearable / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
+            } else if late < ROOM {
+                known.relief = (was + RELIEF_BACK).min(1.0);
+            }
+            if known.relief != was {
                 known.relief_moved = now;
             }
         }
         for (server, by) in moves {
-            if self.servers[&server].counter.is_some() {
-                self.moved(now, server, by);
-            }
+            self.moved(now, server, by);
         }
         self.shed(now);
     }
 
-    /// Classes whose servers are late are let in less, the least earnings per work first (work taken
-    /// as contract time); they come back as their servers find time again.
+    /// Admission: classes whose servers are late are let in less, the least earnings per work first,
+    /// and come back as their servers find time again.
     fn shed(&mut self, now: Duration) {
         if now < self.levels_moved + self.settle() {
             return;
         }
-        let was = self.levels.clone();
-        let late: Vec<f64> = (0..self.classes.len()).map(|class| self.lateness(class)).collect();
-        let work = |class: Class| self.classes[class].contract * self.demand[class].max(1e-9);
-        let mut order: Vec<Class> = (0..self.classes.len()).collect();
-        order.sort_by(|a, b| self.classes[*a].rank().total_cmp(&self.classes[*b].rank()));
-        let worst = late.iter().fold(LATE, |a, b| a.max(*b));
-        let suffering = |class: &Class| late[*class] > LATE;
-        let mut out: f64 = order.iter().filter(|c| suffering(c)).map(|c| work(*c) * was[*c]).sum();
-        out *= 1.0 - (LATE / worst).max(SHED_STEP);
+        let late: Vec<f64> = (0..self.tables.len()).map(|class| self.lateness(class)).collect();
+        let mut order: Vec<Class> = (0..self.tables.len()).collect();
+        order.sort_by(|a, b| self.tables[*a].rank().total_cmp(&self.tables[*b].rank()));
+        let worst = late.iter().fold(LATE, |worst, late| worst.max(*late));
+        let work = |table: &Table| table.contract * table.demand.max(1e-9);
+        let suffering = order.iter().filter(|class| late[**class] > LATE).map(|class| &self.tables[*class]);
+        let let_in: f64 = suffering.map(|table| work(table) * table.level).sum();
+        let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
         for class in order {
-            let level = if suffering(&class) {
-                let cut = out.min(work(class) * (was[class] - ADMIT_LEAST).max(0.0));
+            let table = &mut self.tables[class];
+            let was = table.level;
+            if late[class] > LATE {
+                let cut = out.min(work(table) * (was - ADMIT_LEAST).max(0.0));
                 out -= cut;
-                was[class] - cut / work(class)
+                table.level = was - cut / work(table);
             } else if late[class] < ROOM {
-                (was[class] * (LATE / late[class]).min(SHED_BACK)).min(1.0)
-            } else {
-                was[class]
-            };
-            self.levels[class] = level;
-        }
-        if was != self.levels {
-            self.levels_moved = now;
+                table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
+            }
+            if table.level != was {
+                self.levels_moved = now;
+            }
         }
     }
 
     /// How late the servers of a class are, by the part that each has in its table.
     fn lateness(&self, class: Class) -> f64 {
         let contract = self.contract();
-        let (mut all, mut sum) = (0.0, 0.0);
-        for (server, weight) in &self.published[class] {
-            let last = self.servers[server].last;
-            if last.tries >= 1.0 && !self.servers[server].withdrawn {
-                all += weight;
-                sum += weight * last.lateness(contract);
-            }
-        }
+        let lines = self.tables[class].lines.iter().map(|(server, weight)| (&self.servers[server], weight));
+        let told = lines.filter(|(known, _)| known.last.tries >= 1.0 && !known.withdrawn);
+        let (sum, all) = told.fold((0.0, 0.0), |(sum, all), (known, weight)| {
+            (sum + weight * known.last.lateness(contract), all + weight)
+        });
         if all > 0.0 { sum / all } else { 0.0 }
     }
 
-    // Drains and removals first, hold or not: no proxy may send there past the grace.
+    /// Whether proxies must not send to a server, whatever tables they hold. While some hold tables
+    /// of before, a cold server would get all of its weight there: the hold keeps it out.
+    fn kept_out(&self, now: Duration, known: &Known) -> bool {
+        known.barred(&self.terms) || known.cold(now) && self.tables.iter().any(|table| !table.released)
+    }
+
+    /// Drains and removals first, hold or not: no proxy may send there past the grace.
     fn withdrawal(&mut self, now: Duration) -> Option<Decision> {
-        // While a proxy holds tables of before, it would send a cold server all of its weight: such a
-        // server is kept from it during the hold, and no withdrawal ends before all are bound.
-        let held = self.released.contains(&false);
         let unbound = self.proxies.values().any(|joined| joined.bound.contains(&false));
-        let wanted = |known: &Known| match known.barred(&self.terms) || held && known.warm_at > now {
+        let (server, known) = self.servers.iter().find(|(_, known)| match self.kept_out(now, known) {
             true => !known.withdrawn,
+            // It would still be in the tables that an unbound proxy holds.
             false => known.withdrawn && !unbound,
-        };
-        let (server, known) = self.servers.iter().find(|(_, known)| wanted(known))?;
+        })?;
         let (server, withdrawn) = (*server, !known.withdrawn);
         // A server comes back at its cold share, never at the weight it left with.
         if !withdrawn {
-            let class = (0..self.classes.len()).find(|class| self.off(now, *class, server) != 0.0);
-            if let Some(class) = class {
+            let differs = |class: &Class| self.off(now, *class, server) != 0.0;
+            if let Some(class) = (0..self.tables.len()).find(differs) {
                 return self.weigh(now, class, server, BINDING);
             }
         }
@@ -572,83 +587,75 @@
         Some(Decision::Withdraw { server, withdrawn })
     }
 
-    // A server that was started anew loses its weight before the next push: the grace runs.
-    fn cooling(&mut self, now: Duration) -> Option<Decision> {
-        let cold = self.servers.iter().filter(|(_, known)| known.warm_at > now && !known.withdrawn);
-        let mut lines =
-            cold.flat_map(|(server, _)| (0..self.classes.len()).map(move |class| (class, *server)));
-        let (class, server) = lines.find(|(class, server)| {
-            let held = self.published[*class].get(server).copied().unwrap_or(0.0);
-            held > 0.0 && self.released[*class] && self.off(now, *class, *server) < -TOLERANCE * held
-        })?;
-        self.weigh(now, class, server, DRAINING)
-    }
-
-    // Common changes, ranked by the traffic that a line moves.
+    /// Changed lines, ranked by the traffic that each moves. A server that was started anew loses its
+    /// weight without waiting for the next push: the grace runs.
     fn change(&mut self, now: Duration) -> Option<Decision> {
-        if self.pushing != Some(now) {
-            return None;
-        }
-        if let Some(decision) = self.admit(now) {
+        let pushing = self.pushing == Some(now);
+        if let Some(decision) = pushing.then(|| self.admit(now)).flatten() {
             return Some(decision);
         }
-        let mut best: Option<(f64, Class, Server)> = None;
-        for class in (0..self.classes.len()).filter(|class| self.released[*class]) {
+        let mut best: Option<(bool, f64, Class, Server)> = None;
+        for (class, table) in self.tables.iter().enumerate().filter(|(_, table)| table.released) {
             let desired = self.desired(now, class);
             let total: f64 = desired.values().sum();
-            for (server, weight) in &desired {
-                let held = self.published[class].get(server).copied().unwrap_or(0.0);
+            for (server, weight) in desired {
+                let held = table.held(server);
                 let off = (weight - held).abs();
-                let small = off <= TOLERANCE * weight.max(held) && held > 0.0 && *weight > 0.0;
-                if off == 0.0 || small && !self.resending || self.servers[server].withdrawn {
-                    continue;
-                }
-                let moves = off / total.max(1e-9) * (1.0 + self.demand[class]);
-                if best.is_none_or(|(most, ..)| moves > most) {
-                    best = Some((moves, class, *server));
+                let small = off <= TOLERANCE * weight.max(held) && held > 0.0 && weight > 0.0;
+                let urgent = self.servers[&server].cold(now) && weight < held && !small;
+                let due = urgent || pushing && off > 0.0 && (!small || self.resending);
+                let rank = (urgent, off / total.max(1e-9) * (1.0 + table.demand));
+                if due && !self.servers[&server].withdrawn && best.is_none_or(|(u, m, ..)| rank > (u, m)) {
+                    best = Some((urgent, rank.1, class, server));
                 }
             }
         }
-        let (_, class, server) = best?;
-        self.next_push = now + self.push_gap();
-        self.weigh(now, class, server, COMMON)
+        let (urgent, _, class, server) = best?;
+        if !urgent {
+            self.next_push = now + self.push_gap();
+        }
+        self.weigh(now, class, server, if urgent { DRAINING } else { COMMON })
     }
 
     fn admit(&mut self, now: Duration) -> Option<Decision> {
         let wanted = |class: Class| {
-            let level = (self.levels[class] / LEVEL_STEP).round() * LEVEL_STEP;
-            let calm = level >= 1.0 && self.lateness(class) < LATE;
-            (grid(level), if calm { SecondTry::IfNeverRan } else { SecondTry::Never })
+            let level = grid((self.tables[class].level / LEVEL_STEP).round() * LEVEL_STEP);
+            let room = level >= 1.0 && self.lateness(class) < LATE;
+            (level, if room { SecondTry::IfNeverRan } else { SecondTry::Never })
         };
-        let differs = |class: &Class| self.released[*class] && Some(wanted(*class)) != self.admitted[*class];
-        let class = (0..self.classes.len()).find(differs)?;
+        let differs = |class: &Class| Some(wanted(*class)) != self.tables[*class].admitted;
+        let class = (0..self.tables.len()).filter(|class| self.tables[*class].released).find(differs)?;
         let (share, second) = wanted(class);
         self.spend(now, 1.0, Some(class), COMMON)?;
-        self.admitted[class] = Some((share, second));
+        let before = self.tables[class].admitted.replace((share, second));
+        if before.is_some_and(|(before, _)| before != share) {
+            let (name, late) = (self.class_name(class), self.lateness(class));
+            let text = format!("{name}: {:.0}% let in, answers take {late:.1} contract times", share * 100.0);
+            self.notes.push_back((None, text));
+        }
         Some(Decision::Admit { class, share, second })
     }
 
-    // A proxy comes onto the tables once the hold releases them, or sooner if its own run out.
+    /// A proxy comes onto the tables once the hold releases them, or sooner if its own run out.
     fn binding(&mut self, now: Duration) -> Option<Decision> {
         for proxy in self.proxies.keys().copied().collect::<Vec<_>>() {
-            for class in 0..self.classes.len() {
+            for class in 0..self.tables.len() {
                 if self.proxies[&proxy].bound[class] {
                     continue;
                 }
-                if !self.released[class] && self.runs_out(class, self.proxies[&proxy].zone) {
-                    self.released[class] = true;
+                if !self.tables[class].released && self.runs_out(class, self.proxies[&proxy].zone) {
+                    self.release(class, "standing tables may hold nothing but withdrawn servers");
                     self.pushing = Some(now);
                     return self.next_decision(now);
                 }
-                let filled = self.published[class].values().any(|weight| *weight > 0.0);
-                if !self.released[class] || !filled {
+                if !self.tables[class].released || self.tables[class].lines.is_empty() {
                     continue;
                 }
                 let withdrawn = self.servers.values().filter(|known| known.withdrawn).count();
-                let lines = 2 + self.published[class].len() + withdrawn;
+                let lines = 2 + self.tables[class].lines.len() + withdrawn;
                 if self.spend_on(now, lines as f64, &[proxy], BINDING).is_some() {
                     self.proxies.get_mut(&proxy)?.bound[class] = true;
-                    self.laid[class] = true;
+                    self.tables[class].laid = true;
                     return Some(Decision::Bind { class, proxy });
                 }
             }
@@ -658,62 +665,56 @@
 
     /// Whether a standing table, drawn in this zone, may hold nothing but withdrawn servers.
     fn runs_out(&self, class: Class, zone: Zone) -> bool {
-        let serving = self.servers.values().filter(|known| known.serves(&self.classes[class]));
+        let serving = self.servers.values().filter(|known| self.tables[class].serves(&known.listing));
         let (near, far): (Vec<_>, Vec<_>) = serving.partition(|known| known.listing.zone == zone);
-        let pool: Vec<_> = if near.len() >= 3 { near } else { near.into_iter().chain(far).collect() };
-        let barred = pool.iter().filter(|known| known.withdrawn).count();
+        // A table is drawn in its zone if that has three servers.
+        let pool = if near.len() >= 3 { near } else { [near, far].concat() };
+        let withdrawn = pool.iter().filter(|known| known.withdrawn).count();
         let standing = self.terms.number("fleet.standing").unwrap_or(0.0) as usize;
-        barred > 0 && barred >= pool.len().min(standing)
+        withdrawn > 0 && withdrawn >= pool.len().min(standing)
     }
 
     /// The weights that the table of a class should hold: a pure function of list and numbers.
     fn desired(&self, now: Duration, class: Class) -> BTreeMap<Server, f64> {
-        let terms = &self.classes[class];
-        let cold_share = self.terms.number("rules.cold_share").unwrap_or(1.0);
+        let table = &self.tables[class];
         // Proxies that are turned away elsewhere, or shun the servers that failed them, all come to one
         // that was just started, however small its weight. While the fleet is late it gets less than
         // its share, and nothing while failures are common or no report tells how the fleet does.
         let late = self.fleet.lateness(self.contract());
-        let calm = match self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND {
-            true => ((1.0 - late) / (1.0 - LATE)).clamp(0.0, 1.0),
-            false => 0.0,
-        };
-        let share =
-            |known: &Known| known.warmth(now, cold_share) * if now < known.warm_at { calm } else { 1.0 };
-        let usable = |known: &Known| known.serves(terms) && !known.barred(&self.terms);
-        let full = |known: &Known| grid(known.listing.weight * known.relief * share(known));
+        let told = self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND;
+        let calm = if told { ((1.0 - late) / (1.0 - LATE)).clamp(0.0, 1.0) } else { 0.0 };
+        let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
+        let full =
+            |known: &Known| grid(listed(known) * known.relief * if known.cold(now) { calm } else { 1.0 });
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up(now) || known.counter.is_none() && now < HOLD_LEAST;
-        let held = |server: &Server| self.published[class].get(server).copied().unwrap_or(0.0);
-        let any = |test: &dyn Fn(&Server, &Known) -> bool| {
-            self.servers.iter().any(|(s, k)| usable(k) && test(s, k))
-        };
-        let any_up = any(&|_, known| up(known) && full(known) > 0.0);
-        let any_held = self.laid[class] && any(&|server, known| held(server) > 0.0 && full(known) > 0.0);
+        let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
+        let good = || self.servers.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
+        let any_up = good().any(|(_, known)| up(known));
+        let any_held = table.laid && good().any(|(server, _)| table.held(*server) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
             (true, _) if up(known) => full(known),
             (true, _) => 0.0,
             // All look down: the last table stays, but for what is cold now.
-            (false, true) => held(server).min(full(known)),
-            (false, false) => grid(known.listing.weight * known.warmth(now, cold_share)),
+            (false, true) => table.held(*server).min(full(known)),
+            (false, false) => grid(listed(known)),
         };
         self.servers.iter().map(|(server, known)| (*server, weight(server, known))).collect()
     }
 
     /// How far a line should move, upwards above 0.
     fn off(&self, now: Duration, class: Class, server: Server) -> f64 {
-        let held = self.published[class].get(&server).copied().unwrap_or(0.0);
-        self.desired(now, class).get(&server).map_or(0.0, |weight| weight - held)
+        self.desired(now, class).get(&server).copied().unwrap_or(0.0) - self.tables[class].held(server)
     }
 
     fn weigh(&mut self, now: Duration, class: Class, server: Server, part: f64) -> Option<Decision> {
         let weight = *self.desired(now, class).get(&server)?;
         self.spend(now, 1.0, Some(class), part)?;
         if weight > 0.0 {
-            self.published[class].insert(server, weight);
+            self.tables[class].lines.insert(server, weight);
         } else {
-            self.published[class].remove(&server);
+            self.tables[class].lines.remove(&server);
         }
         Some(Decision::Weigh { class, server, weight })
     }
@@ -725,40 +726,40 @@
         self.spend_on(now, lines, &whom, part)
     }
 
+    /// Pace: nothing if the queue or a proxy's messages would fill more than this part of the limits.
     fn spend_on(&mut self, now: Duration, lines: f64, whom: &[Proxy], part: f64) -> Option<()> {
-        let head = self.terms.number("fleet.message_head_lines").unwrap_or(0.0);
-        let pace = self.terms.number("fleet.channel_lines_per_s").unwrap_or(f64::MAX);
-        let most = self.terms.number("fleet.queue_most_lines").unwrap_or(f64::MAX);
-        let messages = self.terms.number("fleet.messages_most").filter(|most| *most > 0.0);
+        let number = |name: &str| self.terms.number(name).filter(|number| *number > 0.0);
+        let head = number("fleet.message_head_lines").unwrap_or(0.0);
+        let pace = number("fleet.channel_lines_per_s").unwrap_or(f64::MAX);
+        let most = number("fleet.queue_most_lines").unwrap_or(f64::MAX);
+        let messages = number("fleet.messages_most").unwrap_or(f64::MAX);
         let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
-        let sent = (now - self.queued_at).as_secs_f64() * pace / SLOWEST;
-        (self.queued, self.queued_at) = ((self.queued - sent).max(0.0), now);
+        let sent = (now - self.queued.1).as_secs_f64() * pace / SLOWEST;
+        self.queued = ((self.queued.0 - sent).max(0.0), now);
         let mut cost = lines * whom.len() as f64;
+        let mut first = Vec::new();
         for proxy in whom {
             let joined = self.proxies.get_mut(proxy)?;
             joined.messages.retain(|time| *time + span >= now);
             if joined.messages.back() != Some(&now) {
                 cost += head;
-                let full = messages.is_some_and(|most| joined.messages.len() as f64 >= most * part);
-                if full {
+                first.push(*proxy);
+                if joined.messages.len() as f64 >= messages * part {
                     return None;
                 }
             }
         }
-        if self.queued + cost > most * part {
+        if self.queued.0 + cost > most * part {
             return None;
         }
-        self.queued += cost;
-        for proxy in whom {
-            let joined = self.proxies.get_mut(proxy)?;
-            if joined.messages.back() != Some(&now) {
-                joined.messages.push_back(now);
-            }
+        self.queued.0 += cost;
+        for proxy in first {
+            self.proxies.get_mut(&proxy)?.messages.push_back(now);
         }
         Some(())
     }
 
-    /// Common changes are at least so far apart.
+    /// Common changes are so far apart that they leave room within the limit on messages.
     fn push_gap(&self) -> Duration {
         let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
         let most = self.terms.number("fleet.messages_most").filter(|most| *most > 0.0);
@@ -766,85 +767,28 @@
     }
 
     fn period(&self) -> Duration {
-        self.terms.time("fleet.report_period_us").unwrap_or(PROBE_STEADY)
+        self.terms.time("fleet.report_period_us").filter(|time| !time.is_zero()).unwrap_or(PROBE_STEADY)
     }
 
     /// How long it takes until reports tell of a change.
     fn settle(&self) -> Duration {
-        self.period().mul_f64(1.5) + self.terms.time("fleet.message_delay_us").unwrap_or_default()
-    }
-
-    fn warm_within(&self) -> Duration {
-        self.terms.time("rules.warm_within_us").unwrap_or_default()
+        self.period().mul_f64(SETTLE) + self.terms.time("fleet.message_delay_us").unwrap_or_default()
     }
 
     /// The mean contract time of what comes, in seconds.
     fn contract(&self) -> f64 {
-        let weigh = |i: Class| self.demand[i] + 1e-3;
-        let all: f64 = (0..self.classes.len()).map(weigh).sum();
-        let sum: f64 = self.classes.iter().enumerate().map(|(i, class)| weigh(i) * class.contract).sum();
-        if all > 0.0 { sum / all } else { 1.0 }
-    }
-
-    fn jitter(&mut self, interval: Duration, share: f64) -> Duration {
-        let drawn: f64 = self.chance.generate::<u32>() as f64 / f64::from(u32::MAX);
-        interval.mul_f64(1.0 - share * drawn)
-    }
-}
-
-impl ClassTerms {
-    fn rank(&self) -> f64 {
-        self.earnings / self.contract
-    }
-}
-
-impl Known {
-    fn new(listing: Listing, cold_from: Duration, warm_at: Duration) -> Self {
-        Known {
-            listing,
-            counter: None,
-            probe_sent: None,
-            answers_until: Duration::ZERO,
-            cold_from,
-            warm_at,
-            relief: 1.0,
-            relief_moved: Duration::ZERO,
-            heed_from: Duration::ZERO,
-            doubted_until: Duration::ZERO,
-            doubts: 0,
-            fresh: Tally::default(),
-            last: Tally::default(),
-            recent: Tally::default(),
-            withdrawn: false,
-        }
-    }
-
-    /// The counter decides, but a server that still answers proxies stays up whatever its probes say:
-    /// in a jam probes time out at one server after another, and each that goes loads the rest.
-    fn up(&self, now: Duration) -> bool {
-        self.counter.is_some_and(|counter| counter >= RISE || now < self.answers_until)
-    }
-
-    fn barred(&self, terms: &Terms) -> bool {
-        match self.listing.state {
-            Listed::Ready => false,
-            Listed::Draining => true,
-            Listed::Gone => !terms.flag("rules.only_draining_binds"),
-        }
+        let visits = |table: &Table| table.demand + 1e-3;
+        let sum: f64 = self.tables.iter().map(|table| visits(table) * table.contract).sum();
+        sum / self.tables.iter().map(visits).sum::<f64>()
     }
 
-    fn serves(&self, class: &ClassTerms) -> bool {
-        let zone = class.zones.as_ref().is_none_or(|zones| zones.contains(&self.listing.zone));
-        zone && class.kinds.as_ref().is_none_or(|kinds| kinds.contains(&self.listing.kind))
+    fn class_name(&self, class: Class) -> &str {
+        self.terms.text(&format!("classes.{class}.name")).unwrap_or("a class without a name")
     }
 
-    /// The share of its work that it can surely do, growing evenly from the cold share.
-    fn warmth(&self, now: Duration, cold_share: f64) -> f64 {
-        if now >= self.warm_at {
-            return 1.0;
-        }
-        let all = (self.warm_at - self.cold_from).as_secs_f64();
-        cold_share + (1.0 - cold_share) * now.saturating_sub(self.cold_from).as_secs_f64() / all
+    fn jitter(&mut self, interval: Duration, share: f64) -> Duration {
+        let drawn = f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX);
+        interval.mul_f64(1.0 - share * drawn)
     }
 }
 
