--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -217,12 +217,12 @@
                 instance.guard(|pilot| pilot.probed(now, server, finding, wait));
             }
             "ENROLLED" => {
-                line.flag("fresh")?;
+                let fresh = line.flag("fresh")?;
                 let proxy = line.number("proxy")?;
                 line.amount("rate")?;
                 let zone = line.word("zone")?;
                 let zone = position(&instance.zones, zone).ok_or_else(|| format!("unknown zone {zone:?}"))?;
-                instance.guard(|pilot| pilot.joined(now, proxy, zone));
+                instance.guard(|pilot| pilot.joined(now, proxy, zone, fresh));
             }
             "DETACHED" => {
                 let proxy = line.number("proxy")?;
--- a/crates/simhost/src/terms.rs
+++ b/crates/simhost/src/terms.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 /// Wire name, house name. Names that are not here pass as they are.
-const NAMES: [(&str, &str); 23] = [
+const NAMES: [(&str, &str); 24] = [
     ("agents", "proxies"),
     ("cold_from", "cold_share"),
     ("cold_us", "warm_within_us"),
@@ -14,6 +14,7 @@
     ("default_retry", "second_try_default"),
     ("drain_binds_alone", "only_draining_binds"),
     ("egress_per_s", "channel_lines_per_s"),
+    ("fails_to_eject", "shuns_after"),
     ("fall_us", "cold_span_us"),
     ("first_wait", "second_try_after"),
     ("fleet_size", "pilots"),
--- /dev/null
+++ b/crates/simhost/tests/wire.rs
@@ -0,0 +1,172 @@
+//! The host as a process: what goes in, what comes out, and how it ends.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use expect_test::{Expect, expect};
+
+const SETTINGS: &str = r#"{"classes":[{"name":"look","target_us":1000000,"worth":3.0,"new_key":null}],"kinds":["big"],
+"policy_limits":{"probes":true},"rules":{"cold_from":0.2},"specifics":{"overhead":4.0},"zones":["north"]}"#;
+
+/// Feeds the lines to a host and compares replies, exit status and errors.
+fn play(lines: &str, expected: Expect) {
+    let settings = SETTINGS.replace('\n', "");
+    let sliced = settings.replace("\"overhead\"", "\"partitions_n\":8,\"overhead\"");
+    let input = lines.replace("{SLICED}", &sliced).replace("{SETTINGS}", &settings);
+    let mut host = Command::new(env!("CARGO_BIN_EXE_lockcroft-simhost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the host starts");
+    host.stdin.take().expect("piped").write_all(input.as_bytes()).expect("the host reads");
+    let output = host.wait_with_output().expect("the host ends");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let status = output.status.code().map_or("killed".to_string(), |code| code.to_string());
+    expected.assert_eq(&format!("{}{}exit {status}\n", text(&output.stdout), text(&output.stderr)));
+}
+
+#[test]
+fn batches_kill_and_rebirth() {
+    play(
+        "CLOCK 5000000\nEOF_BATCH\n\
+         CLOCK 6000000\nBORN 3 77 {SETTINGS}\nREGISTRY 3 disk 0 1\nITEM endpoint-a north big 0 U 1 -\nEOF_BATCH\n\
+         CLOCK 6500000\nREMINDER 3 0\nEOF_BATCH\n\
+         CLOCK 6600000\nENROLLED 3 1 0 2.5 north\nKILLED 3\nBORN 3 78 {SETTINGS}\nREGISTRY 3 disk 0 1\n\
+         ITEM endpoint-b north big 0 U 1 -\nEOF_BATCH\n\
+         CLOCK 7100000\nREMINDER 3 0\nRECEIPT 3 0 1 500\nPEER_DATA 3 1 -\nEOF_BATCH\n",
+        expect![[r#"
+            YIELD
+            SLEEP 3 91701 0
+            YIELD
+            POLL 3 endpoint-a
+            SLEEP 3 200000 0
+            YIELD
+            SLEEP 3 200000 0
+            YIELD
+            POLL 3 endpoint-b
+            SLEEP 3 200000 0
+            YIELD
+            exit 0
+        "#]],
+    );
+}
+
+#[test]
+fn slices_are_declined_plainly() {
+    play(
+        "CLOCK 1\nBORN 0 1 {SLICED}\nREGISTRY 0 disk 0 0\nEOF_BATCH\nCLOCK 2\nHANDED 0 1 4\nRECORDED 0 1 4 endpoint-a\n\
+         WEIGHT_SEEN 0 4 look 1 0 1000\nEOF_BATCH\n",
+        expect![[r#"
+            NOTE_DOWN 0 the keys are in slices, for which lockcroft lays no tables yet: idle
+            YIELD
+            YIELD
+            exit 0
+        "#]],
+    );
+}
+
+#[test]
+fn malformed_input_ends_with_a_plain_message_and_no_reply() {
+    let born = "CLOCK 1\nBORN 0 1 {SETTINGS}\n";
+    for (lines, expected) in [
+        (
+            "HELLO 1\n",
+            expect![[r#"
+            lockcroft-simhost: line 1: "HELLO": a batch begins with CLOCK
+            exit 1
+        "#]],
+        ),
+        (
+            "CLOCK soon\n",
+            expect![[r#"
+            lockcroft-simhost: line 1: "CLOCK": clock is not a number of its kind: "soon"
+            exit 1
+        "#]],
+        ),
+        (
+            "CLOCK 1\nSURPRISE 0\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 2: "SURPRISE": unknown message
+            exit 1
+        "#]],
+        ),
+        (
+            "CLOCK 1\nKILLED 4\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 2: "KILLED": pilot 4 was not born
+            exit 1
+        "#]],
+        ),
+        (
+            "CLOCK 1\nBORN 0 1 {\"classes\": oops}\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 2: "BORN": settings: expected value at line 1 column 13
+            exit 1
+        "#]],
+        ),
+        (
+            "ENROLLED 0 1 5 2.5 west\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 3: "ENROLLED": unknown zone "west"
+            exit 1
+        "#]],
+        ),
+        (
+            "ROUNDUP 0 14 48250 1 north 1000000 endpoint-a - extra\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 3: "ROUNDUP": too many parts, from "extra"
+            exit 1
+        "#]],
+        ),
+        (
+            "ROUNDUP 0 many 48250 1 north 1000000 endpoint-a -\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 3: "ROUNDUP": tries is not a number of its kind: "many"
+            exit 1
+        "#]],
+        ),
+        (
+            "PROXY_STATS 0 0 1000 look 1\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 3: "PROXY_STATS": visits is missing
+            exit 1
+        "#]],
+        ),
+        (
+            "REGISTRY 0 diff 1 2\nITEM endpoint-a north big 0 U 1 -\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 5: "EOF_BATCH": 1 more entries of the list were due
+            exit 1
+        "#]],
+        ),
+        (
+            "REGISTRY 0 diff 1 1\nITEM endpoint-a north big 0 X 1 -\nEOF_BATCH\n",
+            expect![[r#"
+            lockcroft-simhost: line 4: "ITEM": unknown state "X"
+            exit 1
+        "#]],
+        ),
+        (
+            "DETACHED 0 1\n",
+            expect![[r#"
+            lockcroft-simhost: line 4: input cut off inside a batch
+            exit 1
+        "#]],
+        ),
+        (
+            "DETACHED 0 1\nEOF_BA",
+            expect![[r#"
+            lockcroft-simhost: line 4: input cut off inside the line
+            exit 1
+        "#]],
+        ),
+    ] {
+        let full = if lines.starts_with("CLOCK") || lines.starts_with("HELLO") {
+            lines.into()
+        } else {
+            format!("{born}{lines}")
+        };
+        play(&full, expected);
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,6 +63,8 @@
 const SETTLE: f64 = 1.5;
 /// A condemned server is left alone for one resend interval, then for up to so many.
 const DOUBTS_MOST: u32 = 4;
+/// Proxies shun servers for so much of the time in which a server warms up, at most.
+const SHUNNING: f64 = 0.5;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
 const COMMON: f64 = 0.5;
 const BINDING: f64 = 0.75;
@@ -214,6 +216,7 @@
     notes: VecDeque<(Option<Server>, String)>,
     fleet: Tally,
     levels_moved: Duration,
+    shunning_until: Duration,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
     next_review: Duration,
@@ -260,6 +263,7 @@
             notes: VecDeque::new(),
             fleet: Tally::default(),
             levels_moved: Duration::ZERO,
+            shunning_until: Duration::ZERO,
             next_beat: Duration::ZERO,
             next_review: Duration::ZERO,
             next_resend: RESEND,
@@ -279,7 +283,7 @@
         for (_, known) in self.servers.iter_mut().filter(|(server, _)| full && missing(server)) {
             known.listing.state = Listed::Gone;
         }
-        let within = self.terms.time("rules.warm_within_us").unwrap_or_default();
+        let within = self.warm_within();
         // Where probes are not allowed, all count as having passed one.
         let counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
         let settle = self.settle();
@@ -352,8 +356,12 @@
         }
     }
 
-    /// A proxy's stream stands; it holds tables that are not this pilot's.
-    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone) {
+    /// A proxy's stream stands; it holds tables that are not this pilot's,
+    /// and if it is not `fresh`, it may still shun servers that failed it.
+    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, fresh: bool) {
+        if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
+            self.shunning_until = now + self.warm_within().mul_f64(SHUNNING);
+        }
         let bound = vec![false; self.tables.len()];
         self.proxies.insert(proxy, Joined { zone, bound, messages: VecDeque::new() });
         // Withdrawals that went out before have not reached it.
@@ -487,11 +495,12 @@
             let others =
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
-            if fails && known.up(now) && others.failing() < SOUND {
+            if fails && known.up(now) && !known.barred(&self.terms) && others.failing() < SOUND {
                 moves.push((*server, -(FALL as i32)));
                 known.doubts += 1;
                 known.doubted_until = now + RESEND * known.doubts.min(DOUBTS_MOST);
-                known.answers_until = now;
+                // It comes back, on passing probes, with a part that costs little if it still fails.
+                (known.answers_until, known.relief) = (now, RELIEF_LEAST);
                 known.heed_from = known.doubted_until + settle;
                 let text =
                     format!("fails {:.0} of {:.0} tries, though probes may pass", seen.failed, seen.tries);
@@ -681,8 +690,13 @@
         // that was just started, however small its weight. While the fleet is late it gets less than
         // its share, and nothing while failures are common or no report tells how the fleet does.
         let late = self.fleet.lateness(self.contract());
+        // Nor while proxies that were cut off may shun all that they failed to reach.
         let told = self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND;
-        let calm = if told { ((1.0 - late) / (1.0 - LATE)).clamp(0.0, 1.0) } else { 0.0 };
+        let calm = if told && now >= self.shunning_until {
+            ((1.0 - late) / (1.0 - LATE)).clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
         let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
         let full =
             |known: &Known| grid(listed(known) * known.relief * if known.cold(now) { calm } else { 1.0 });
@@ -770,6 +784,10 @@
         self.terms.time("fleet.report_period_us").filter(|time| !time.is_zero()).unwrap_or(PROBE_STEADY)
     }
 
+    fn warm_within(&self) -> Duration {
+        self.terms.time("rules.warm_within_us").unwrap_or_default()
+    }
+
     /// How long it takes until reports tell of a change.
     fn settle(&self) -> Duration {
         self.period().mul_f64(SETTLE) + self.terms.time("fleet.message_delay_us").unwrap_or_default()
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,163 @@
+//! A small stage for a pilot: terms of two classes, two zones, four servers, and a printed trace.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use lockcroft::{Decision, Finding, Listed, Listing, Pilot, Server, Term, Terms};
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn ready(server: Server) -> Listing {
+    Listing { server, zone: server % 2, weight: 1.0, ..Listing::default() }
+}
+
+pub fn state(server: Server, state: Listed) -> Listing {
+    Listing { state, ..ready(server) }
+}
+
+pub fn started(server: Server, millis_ago: u64) -> Listing {
+    Listing { age: Some(ms(millis_ago)), ..ready(server) }
+}
+
+pub struct Stage {
+    pub pilot: Pilot,
+    pub now: Duration,
+    /// How the next probes of a server end.
+    pub health: Vec<Finding>,
+    /// Probes are left out of the trace unless wanted.
+    pub print_probes: bool,
+    pub trace: String,
+}
+
+impl Stage {
+    pub fn new(servers: usize) -> Self {
+        Stage::with(servers, &[])
+    }
+
+    pub fn with(servers: usize, more: &[(&str, f64)]) -> Self {
+        let mut terms = Terms::default();
+        let mut put = |name: &str, term| terms.0.insert(name.to_string(), term);
+        for (i, name) in ["north", "south"].into_iter().enumerate() {
+            put(&format!("zones.{i}"), Term::Text(name.into()));
+        }
+        for (i, (name, contract, earnings)) in
+            [("look", 1.0, 3.0), ("book", 2.0, 1.0)].into_iter().enumerate()
+        {
+            put(&format!("classes.{i}.name"), Term::Text(name.into()));
+            put(&format!("classes.{i}.contract_time_us"), Term::Number(contract * 1e6));
+            put(&format!("classes.{i}.earnings"), Term::Number(earnings));
+        }
+        put("allowed.probes", Term::Flag(true));
+        let figures = [
+            ("rules.cold_share", 0.2),
+            ("rules.warm_within_us", 10e6),
+            ("fleet.standing", 3.0),
+            ("fleet.report_period_us", 1e6),
+            ("fleet.message_delay_us", 0.2e6),
+            ("fleet.message_head_lines", 4.0),
+            ("fleet.channel_lines_per_s", 10_000.0),
+            ("fleet.queue_most_lines", 10_000.0),
+        ];
+        for (name, value) in figures.iter().chain(more) {
+            put(name, Term::Number(*value));
+        }
+        let mut pilot = Pilot::new(terms, 7);
+        let listings: Vec<_> = (0..servers).map(ready).collect();
+        pilot.listed(ms(0), true, &listings);
+        let health = vec![Finding::Passed; servers];
+        Stage { pilot, now: ms(0), health, print_probes: false, trace: String::new() }
+    }
+
+    /// Pulls decisions until there is none; every probe ends 5 ms later as its server's health says,
+    /// a failed one by not ending at all.
+    fn pull(&mut self) -> Vec<Server> {
+        let mut probes = Vec::new();
+        while let Some(decision) = self.pilot.next_decision(self.now) {
+            let at = self.now.as_secs_f64();
+            let text = match &decision {
+                Decision::Probe(server) => format!("probe {server}"),
+                Decision::Weigh { class, server, weight } => {
+                    format!("class {class}: server {server} {weight}")
+                }
+                Decision::Bind { class, proxy } => format!("class {class}: bind proxy {proxy}"),
+                Decision::Withdraw { server, withdrawn } => format!("withdraw {server} {withdrawn}"),
+                Decision::Admit { class, share, second } => {
+                    format!("class {class}: admit {share} {second:?}")
+                }
+                Decision::Note { about: Some(server), text } => format!("# {server} {text}"),
+                Decision::Note { about: None, text } => format!("# {text}"),
+            };
+            if let Decision::Probe(server) = decision {
+                probes.push(server);
+            }
+            if self.print_probes || !matches!(decision, Decision::Probe(_)) {
+                writeln!(self.trace, "{at:.1} {text}").expect("a string takes all");
+            }
+        }
+        probes
+    }
+
+    pub fn run_to(&mut self, millis: u64) -> &mut Self {
+        let end = ms(millis);
+        let mut ends: Vec<(Duration, Server)> = Vec::new();
+        loop {
+            let sent = self.now + ms(5);
+            ends.extend(self.pull().into_iter().map(|server| (sent, server)));
+            let probe = ends.first().map_or(Duration::MAX, |(time, _)| *time);
+            let next = self.pilot.next_due().min(probe);
+            if next > end {
+                break;
+            }
+            self.now = next;
+            while ends.first().is_some_and(|(time, _)| *time <= next) {
+                let (_, server) = ends.remove(0);
+                if self.health[server] != Finding::Failed {
+                    self.pilot.probed(next, server, self.health[server], ms(5));
+                }
+            }
+        }
+        self.now = end;
+        self
+    }
+
+    pub fn join(&mut self, proxy: usize) -> &mut Self {
+        self.pilot.joined(self.now, proxy, proxy % 2, true);
+        self
+    }
+
+    pub fn list(&mut self, entries: &[Listing]) -> &mut Self {
+        self.pilot.listed(self.now, false, entries);
+        self
+    }
+
+    /// Each server is reported once a second until then: tries, failures, mean time.
+    pub fn report_to(&mut self, millis: u64, told: &[(u32, u32, u64)]) -> &mut Self {
+        while self.now + ms(1000) <= ms(millis) {
+            let next = self.now + ms(1000);
+            self.run_to(next.as_millis() as u64);
+            for (server, (tries, failed, took)) in told.iter().enumerate() {
+                self.pilot.reported(next, server, *tries, *failed, ms(*took));
+            }
+            for class in 0..2 {
+                self.pilot.counted(class, 20);
+            }
+        }
+        self.run_to(millis)
+    }
+
+    /// Starts the trace anew.
+    pub fn quiet(&mut self) -> &mut Self {
+        self.pull();
+        self.trace.clear();
+        self
+    }
+
+    /// What is in the trace of these words, one a line.
+    pub fn said(&mut self, words: &[&str]) -> String {
+        self.pull();
+        let lines = self.trace.lines().filter(|line| words.iter().any(|word| line.contains(word)));
+        lines.fold(String::new(), |all, line| all + line + "\n")
+    }
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,228 @@
+//! One test for each failure found. Each says which rule or loss it guards against.
+
+mod common;
+
+use common::*;
+use expect_test::expect;
+use lockcroft::{Finding, Listed};
+
+const WELL: (u32, u32, u64) = (20, 0, 200);
+
+/// Rule on cold servers: the news of a start takes the weight at once, and it grows from the share.
+#[test]
+fn restarted_server_loses_its_weight_at_once_and_regains_it_slowly() {
+    let mut stage = Stage::new(3);
+    stage.join(0).report_to(8000, &[WELL; 3]).quiet().list(&[started(1, 1000)]);
+    let trace = stage.report_to(20_000, &[WELL; 3]).said(&["class 0: server 1"]);
+    expect![[r#"
+        8.0 class 0: server 1 0
+        8.2 class 0: server 1 0.296
+        8.8 class 0: server 1 0.344
+        9.4 class 0: server 1 0.392
+        10.0 class 0: server 1 0.44
+        10.8 class 0: server 1 0.504
+        11.6 class 0: server 1 0.568
+        12.4 class 0: server 1 0.632
+        13.4 class 0: server 1 0.712
+        14.4 class 0: server 1 0.792
+        15.0 class 0: server 1 0.84
+        16.2 class 0: server 1 0.936
+        20.0 class 0: server 1 1
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Rule on cold servers: proxies that are refused elsewhere all go to the one that was just started.
+#[test]
+fn started_server_gets_nothing_while_failures_are_common() {
+    let mut stage = Stage::new(3);
+    stage.join(0).report_to(8000, &[WELL; 3]).list(&[state(1, Listed::Gone)]);
+    stage.report_to(12_000, &[(20, 9, 900), (0, 0, 0), (20, 9, 900)]).quiet().list(&[started(1, 500)]);
+    let jam = [(20, 9, 900), (0, 0, 0), (20, 9, 900)];
+    let trace = stage.report_to(18_000, &jam).said(&["class 0: server 1", "withdraw"]);
+    expect![[r#"
+        12.0 class 0: server 1 0
+        12.0 withdraw 1 false
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Rule on cold servers: a withdrawal that ends while a proxy still holds tables of before would
+/// bring a cold server all of its weight.
+#[test]
+fn no_withdrawal_ends_before_all_proxies_are_bound() {
+    let mut stage = Stage::new(4);
+    stage.join(0).run_to(1000).list(&[state(1, Listed::Gone)]).run_to(2000).list(&[started(1, 500)]);
+    let trace = stage.run_to(5400).said(&["withdraw", "class 0: bind", "class 0: server 1"]);
+    expect![[r#"
+        1.0 withdraw 1 true
+        5.0 class 0: bind proxy 0
+        5.0 withdraw 1 false
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Rule on cold servers and the loss of a whole table: an instance that is born into a lost zone
+/// took the last table for its single first line, and all visits went there.
+#[test]
+fn table_laid_early_holds_all_that_are_not_known_to_be_down() {
+    let mut stage = Stage::new(8);
+    stage.list(&[0, 2, 4, 6].map(|server| state(server, Listed::Gone))).join(0).health.fill(Finding::Failed);
+    let trace = stage.run_to(100).said(&["class 0"]);
+    expect![[r#"
+        0.0 class 0: admit 1 IfNeverRan
+        0.0 class 0: server 1 1
+        0.0 class 0: server 3 1
+        0.0 class 0: server 5 1
+        0.0 class 0: server 7 1
+        0.0 class 0: bind proxy 0
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Loss of all servers one by one: in a jam probes time out, but proxies still get answers.
+#[test]
+fn server_that_answers_proxies_outlives_failing_probes() {
+    let mut stage = Stage::new(3);
+    stage.join(0).report_to(8000, &[WELL; 3]).quiet().health[1] = Finding::Failed;
+    let trace = stage.report_to(14_000, &[WELL; 3]).said(&["server 1"]);
+    expect![[""]].assert_eq(&trace);
+    // Once reports stop, the probes decide.
+    let trace = stage.run_to(17_000).said(&["server 1"]);
+    expect![[""]].assert_eq(&trace);
+}
+
+/// Loss of visits to a server that takes them and answers none, while its probes pass.
+#[test]
+fn server_that_fails_proxies_goes_down_though_probes_pass() {
+    let mut stage = Stage::new(4);
+    stage.join(0).report_to(8000, &[WELL; 4]).quiet();
+    let trace = stage.report_to(18_000, &[WELL, WELL, (10, 10, 0), WELL]).said(&["class 0: server", "#"]);
+    expect![[r#"
+        10.0 # 2 fails 10 of 10 tries, though probes may pass
+        10.0 class 0: server 2 0
+        15.2 class 0: server 2 1
+        18.0 # 2 fails 10 of 10 tries, though probes may pass
+        18.0 class 0: server 2 0
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Loss of the whole fleet: a general slump condemns nobody, and less is let in instead.
+#[test]
+fn general_slump_condemns_nobody_and_sheds_the_least_earnings_first() {
+    let mut stage = Stage::new(3);
+    stage.join(0).report_to(8000, &[WELL; 3]).quiet();
+    stage.report_to(13_000, &[(20, 18, 1400); 3]);
+    let trace = stage.report_to(22_000, &[(20, 0, 150); 3]).said(&["server", "admit", "#"]);
+    expect![[r#"
+        10.0 class 0: admit 1 Never
+        10.0 class 1: admit 0.4 Never
+        10.0 # book: 40% let in, answers take 1.0 contract times
+        12.0 class 0: admit 0.9 Never
+        12.0 # look: 90% let in, answers take 1.0 contract times
+        12.0 class 1: admit 0.1 Never
+        12.0 # book: 10% let in, answers take 1.0 contract times
+        14.0 class 0: admit 0.45 Never
+        14.0 # look: 45% let in, answers take 1.0 contract times
+        16.0 class 0: admit 0.9 Never
+        16.0 # look: 90% let in, answers take 0.1 contract times
+        16.0 class 1: admit 0.2 Never
+        16.0 # book: 20% let in, answers take 0.1 contract times
+        18.0 class 0: admit 1 IfNeverRan
+        18.0 # look: 100% let in, answers take 0.1 contract times
+        18.0 class 1: admit 0.4 Never
+        18.0 # book: 40% let in, answers take 0.1 contract times
+        20.0 class 1: admit 0.8 Never
+        20.0 # book: 80% let in, answers take 0.1 contract times
+        22.0 class 1: admit 1 IfNeverRan
+        22.0 # book: 100% let in, answers take 0.1 contract times
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Loss at a slow server: it keeps what it can do.
+#[test]
+fn slow_server_is_relieved_and_regains_its_weight_slowly() {
+    let mut stage = Stage::new(4);
+    stage.join(0).report_to(8000, &[WELL; 4]).quiet();
+    stage.report_to(13_000, &[WELL, WELL, (8, 2, 2500), WELL]);
+    let trace = stage.report_to(24_000, &[WELL; 4]).said(&["class 0"]);
+    expect![[r#"
+        10.0 class 0: server 2 0.953
+        12.0 class 0: server 2 0.476
+        14.0 class 0: server 2 0.3
+        16.0 class 0: server 2 0.34
+        18.0 class 0: server 2 0.38
+        20.0 class 0: server 2 0.42
+        24.0 class 0: server 2 0.5
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Rule on the queue: a storm of joins waits for its turn, a drain does not.
+#[test]
+fn join_storm_keeps_the_queue_and_the_messages_within_their_limits() {
+    let limits = [
+        ("fleet.queue_most_lines", 100.0),
+        ("fleet.channel_lines_per_s", 100.0),
+        ("fleet.messages_most", 8.0),
+        ("fleet.messages_span_us", 10e6),
+    ];
+    let mut stage = Stage::with(4, &limits);
+    stage.run_to(6000).quiet();
+    (0..6).for_each(|proxy| drop(stage.join(proxy)));
+    let trace = stage.run_to(6500).list(&[state(3, Listed::Draining)]).run_to(12_000).said(&["bind", "with"]);
+    expect![[r#"
+        6.0 class 0: bind proxy 0
+        6.0 class 1: bind proxy 0
+        6.0 class 0: bind proxy 1
+        6.0 class 1: bind proxy 1
+        6.0 class 0: bind proxy 2
+        6.0 class 1: bind proxy 2
+        6.0 class 0: bind proxy 3
+        6.0 class 1: bind proxy 3
+        6.0 class 0: bind proxy 4
+        6.8 withdraw 3 true
+        9.2 class 1: bind proxy 4
+        10.1 class 0: bind proxy 5
+        11.0 class 1: bind proxy 5
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Rule on drains: what was on its way when the stream broke is lost; the new binding brings it.
+#[test]
+fn stream_that_breaks_during_a_drain_is_told_again() {
+    let mut stage = Stage::new(4);
+    stage.join(0).run_to(6000).quiet().list(&[state(2, Listed::Draining)]).run_to(6010).pilot.left(0);
+    let trace = stage.run_to(7000).join(0).run_to(7500).said(&["withdraw", "bind"]);
+    expect![[r#"
+        6.0 withdraw 2 true
+        7.0 withdraw 2 true
+        7.0 class 0: bind proxy 0
+        7.0 class 1: bind proxy 0
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Odd news is taken calmly: unknown servers and classes, proxies that left, repeated entries, old
+/// starts, probes and reports of a server that is gone, results that come after their time.
+#[test]
+fn odd_news_changes_nothing() {
+    let mut stage = Stage::new(2);
+    stage.join(0).run_to(6000).list(&[state(1, Listed::Gone)]).run_to(7000).quiet();
+    let now = stage.now;
+    stage.pilot.reported(now, 9, 5, 5, ms(10));
+    stage.pilot.reported(now, 1, 5, 9, ms(10));
+    stage.pilot.probed(now, 9, Finding::Refused, ms(1));
+    stage.pilot.probed(now, 1, Finding::Refused, ms(1));
+    stage.pilot.probed(now, 0, Finding::Refused, ms(900));
+    stage.pilot.counted(9, 5);
+    stage.pilot.left(9);
+    let trace = stage.list(&[ready(0), ready(0), state(1, Listed::Gone)]).run_to(8000).said(&[""]);
+    expect![[r#"
+        8.0 # 1 fails 5 of 5 tries, though probes may pass
+    "#]]
+    .assert_eq(&trace);
+}
