Give cold servers nothing until the fleet was at ease for a while

Folds three guards (failures, lateness, shunning proxies) into one time. It hurts where a lost zone comes back while the rest is overloaded: the zone waits for up to half the warm-up time more.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,8 +63,8 @@
 const SETTLE: f64 = 1.5;
 /// A condemned server is left alone for one resend interval, then for up to so many.
 const DOUBTS_MOST: u32 = 4;
-/// Proxies shun servers for so much of the time in which a server warms up, at most.
-const SHUNNING: f64 = 0.5;
+/// The fleet stays uneasy for this part of the time in which a server warms up.
+const UNEASY: f64 = 0.5;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
 const COMMON: f64 = 0.5;
 const BINDING: f64 = 0.75;
@@ -216,7 +216,10 @@
     notes: VecDeque<(Option<Server>, String)>,
     fleet: Tally,
     levels_moved: Duration,
-    shunning_until: Duration,
+    /// Started servers are not safe before this time. Proxies that are refused or fail elsewhere, that
+    /// still shun what they could not reach, or that come back all at once as levels rise, bring all
+    /// to a server that was just started, however small its weight.
+    uneasy_until: Duration,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
     next_review: Duration,
@@ -263,7 +266,7 @@
             notes: VecDeque::new(),
             fleet: Tally::default(),
             levels_moved: Duration::ZERO,
-            shunning_until: Duration::ZERO,
+            uneasy_until: Duration::ZERO,
             next_beat: Duration::ZERO,
             next_review: Duration::ZERO,
             next_resend: RESEND,
@@ -360,7 +363,7 @@
     /// and if it is not `fresh`, it may still shun servers that failed it.
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, fresh: bool) {
         if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
-            self.shunning_until = now + self.warm_within().mul_f64(SHUNNING);
+            self.uneasy_until = now + self.warm_within().mul_f64(UNEASY);
         }
         let bound = vec![false; self.tables.len()];
         self.proxies.insert(proxy, Joined { zone, bound, messages: VecDeque::new() });
@@ -526,6 +529,11 @@
             self.moved(now, server, by);
         }
         self.shed(now);
+        let shedding = self.tables.iter().any(|table| table.level < 1.0);
+        let well = self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND;
+        if shedding || !well || self.fleet.lateness(contract) > LATE {
+            self.uneasy_until = self.uneasy_until.max(now + self.warm_within().mul_f64(UNEASY));
+        }
     }
 
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
@@ -686,20 +694,14 @@
     /// The weights that the table of a class should hold: a pure function of list and numbers.
     fn desired(&self, now: Duration, class: Class) -> BTreeMap<Server, f64> {
         let table = &self.tables[class];
-        // Proxies that are turned away elsewhere, or shun the servers that failed them, all come to one
-        // that was just started, however small its weight. While the fleet is late it gets less than
-        // its share, and nothing while failures are common or no report tells how the fleet does.
-        let late = self.fleet.lateness(self.contract());
-        // Nor while proxies that were cut off may shun all that they failed to reach.
-        let told = self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND;
-        let calm = if told && now >= self.shunning_until {
-            ((1.0 - late) / (1.0 - LATE)).clamp(0.0, 1.0)
-        } else {
-            0.0
-        };
+        // A cold server gets nothing while the fleet is uneasy or a probe of its own fails.
+        let calm =
+            |known: &Known| now >= self.uneasy_until && known.counter.is_none_or(|counter| counter == TOP);
         let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
-        let full =
-            |known: &Known| grid(listed(known) * known.relief * if known.cold(now) { calm } else { 1.0 });
+        let full = |known: &Known| match !known.cold(now) || calm(known) {
+            true => grid(listed(known) * known.relief),
+            false => 0.0,
+        };
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up(now) || known.counter.is_none() && now < HOLD_LEAST;
         let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
