--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,8 +61,6 @@
 const FADE: f64 = 0.5;
 /// Reports tell of a change after so many report periods and the way of a message.
 const SETTLE: f64 = 1.5;
-/// A condemned server is left alone for one resend interval, then for up to so many.
-const DOUBTS_MOST: u32 = 4;
 /// The fleet stays uneasy for this part of the time in which a server warms up.
 const UNEASY: f64 = 0.5;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
@@ -116,8 +114,7 @@
     relief_moved: Duration,
     /// Reports before this time tell of the server as it was before it started or came back.
     heed_from: Duration,
-    /// Condemned by reports so many times; passing probes don't count before this time.
-    doubts: u32,
+    /// Condemned by reports: passing probes don't count before this time.
     doubted_until: Duration,
     /// What reports told since the last review, in the period before it, and of late.
     fresh: Tally,
@@ -171,8 +168,6 @@
     zones: Option<Vec<Zone>>,
     kinds: Option<Vec<Kind>>,
     released: bool,
-    /// It is complete: a proxy was bound to it.
-    laid: bool,
     /// What was published: weights, and what is let in.
     lines: BTreeMap<Server, f64>,
     admitted: Option<(f64, SecondTry)>,
@@ -249,7 +244,6 @@
                 zones: places("zones", name("only_zones")),
                 kinds: places("kinds", name("only_kinds")),
                 released: false,
-                laid: false,
                 lines: BTreeMap::new(),
                 admitted: None,
                 level: 1.0,
@@ -286,34 +280,28 @@
         for (_, known) in self.servers.iter_mut().filter(|(server, _)| full && missing(server)) {
             known.listing.state = Listed::Gone;
         }
-        let within = self.warm_within();
-        // Where probes are not allowed, all count as having passed one.
-        let counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
-        let settle = self.settle();
+        let (within, settle) = (self.warm_within(), self.settle());
         for entry in entries {
-            let new = Known { listing: *entry, relief: 1.0, counter, ..Known::default() };
-            let first = now + self.jitter(PROBE_BETWEEN, 1.0);
+            let soon = now + self.jitter(GATHER, 1.0);
+            let gone = Listing { state: Listed::Gone, ..*entry };
+            let new = Known { listing: gone, relief: 1.0, ..Known::default() };
+            let known = self.servers.entry(entry.server).or_insert(new);
+            let was = std::mem::replace(&mut known.listing, *entry).state;
             let age = entry.age.unwrap_or(within);
             let warm_at = (now + within).saturating_sub(age);
-            let before = self.servers.get(&entry.server).map(|known| known.listing.state);
-            let known = self.servers.entry(entry.server).or_insert(new);
-            known.listing = *entry;
-            // A new process knows nothing of the old one's health, and is cold. Repeated or older news
-            // of a start changes nothing.
-            let started = entry.age.is_some() && warm_at > known.warm_at && warm_at > now;
+            // Repeated or older news of a start changes nothing.
+            let started = warm_at > now && warm_at > known.warm_at;
             if started {
                 (known.started, known.warm_at) = (now.saturating_sub(age), warm_at);
             }
-            match before {
-                None => self.schedule(entry.server, first),
-                Some(state) if started || state == Listed::Gone && entry.state == Listed::Ready => {
-                    known.counter = counter;
-                    (known.doubted_until, known.answers_until) = (Duration::ZERO, now);
-                    (known.fresh, known.recent) = (Tally::default(), Tally::default());
-                    known.heed_from = now + settle;
-                    self.schedule(entry.server, now);
-                }
-                _ => {}
+            // A new process knows nothing of the old one's health. Where probes are not allowed, all
+            // count as having passed one.
+            if started || was != Listed::Ready && entry.state == Listed::Ready {
+                known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
+                (known.doubted_until, known.answers_until) = (Duration::ZERO, now);
+                (known.fresh, known.recent) = (Tally::default(), Tally::default());
+                known.heed_from = now + settle;
+                self.schedule(entry.server, soon);
             }
         }
     }
@@ -500,8 +488,7 @@
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
             if fails && known.up(now) && !known.barred(&self.terms) && others.failing() < SOUND {
                 moves.push((*server, -(FALL as i32)));
-                known.doubts += 1;
-                known.doubted_until = now + RESEND * known.doubts.min(DOUBTS_MOST);
+                known.doubted_until = now + RESEND;
                 // It comes back, on passing probes, with a part that costs little if it still fails.
                 (known.answers_until, known.relief) = (now, RELIEF_LEAST);
                 known.heed_from = known.doubted_until + settle;
@@ -599,7 +586,7 @@
                 return self.weigh(now, class, server, BINDING);
             }
         }
-        self.spend(now, 1.0, None, DRAINING)?;
+        self.spend(now, 1, self.on(None), DRAINING)?;
         self.servers.get_mut(&server)?.withdrawn = withdrawn;
         Some(Decision::Withdraw { server, withdrawn })
     }
@@ -629,7 +616,10 @@
         }
         let (urgent, _, class, server) = best?;
         if !urgent {
-            self.next_push = now + self.push_gap();
+            // So far apart, common changes leave room within the limit on messages.
+            let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
+            let most = self.terms.limit("fleet.messages_most");
+            self.next_push = now + GATHER.max(span.div_f64(most * COMMON));
         }
         self.weigh(now, class, server, if urgent { DRAINING } else { COMMON })
     }
@@ -643,7 +633,7 @@
         let differs = |class: &Class| Some(wanted(*class)) != self.tables[*class].admitted;
         let class = (0..self.tables.len()).filter(|class| self.tables[*class].released).find(differs)?;
         let (share, second) = wanted(class);
-        self.spend(now, 1.0, Some(class), COMMON)?;
+        self.spend(now, 1, self.on(Some(class)), COMMON)?;
         let before = self.tables[class].admitted.replace((share, second));
         if before.is_some_and(|(before, _)| before != share) {
             let (name, late) = (self.class_name(class), self.lateness(class));
@@ -670,9 +660,8 @@
                 }
                 let withdrawn = self.servers.values().filter(|known| known.withdrawn).count();
                 let lines = 2 + self.tables[class].lines.len() + withdrawn;
-                if self.spend_on(now, lines as f64, &[proxy], BINDING).is_some() {
+                if self.spend(now, lines, vec![proxy], BINDING).is_some() {
                     self.proxies.get_mut(&proxy)?.bound[class] = true;
-                    self.tables[class].laid = true;
                     return Some(Decision::Bind { class, proxy });
                 }
             }
@@ -707,7 +696,8 @@
         let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
         let good = || self.servers.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
         let any_up = good().any(|(_, known)| up(known));
-        let any_held = table.laid && good().any(|(server, _)| table.held(*server) > 0.0);
+        let laid = self.proxies.values().any(|joined| joined.bound[class]);
+        let any_held = laid && good().any(|(server, _)| table.held(*server) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
             (true, _) if up(known) => full(known),
@@ -726,7 +716,7 @@
 
     fn weigh(&mut self, now: Duration, class: Class, server: Server, part: f64) -> Option<Decision> {
         let weight = *self.desired(now, class).get(&server)?;
-        self.spend(now, 1.0, Some(class), part)?;
+        self.spend(now, 1, self.on(Some(class)), part)?;
         if weight > 0.0 {
             self.tables[class].lines.insert(server, weight);
         } else {
@@ -735,37 +725,35 @@
         Some(Decision::Weigh { class, server, weight })
     }
 
-    /// Takes lines off the budget for each proxy that is on the table, or for all that are joined.
-    fn spend(&mut self, now: Duration, lines: f64, class: Option<Class>, part: f64) -> Option<()> {
+    /// The proxies on the table of a class, or all that are joined.
+    fn on(&self, class: Option<Class>) -> Vec<Proxy> {
         let on = |joined: &Joined| class.is_none_or(|class| joined.bound[class]);
-        let whom: Vec<_> = self.proxies.iter().filter(|(_, joined)| on(joined)).map(|(p, _)| *p).collect();
-        self.spend_on(now, lines, &whom, part)
+        self.proxies.iter().filter(|(_, joined)| on(joined)).map(|(proxy, _)| *proxy).collect()
     }
 
-    /// Pace: nothing if the queue or a proxy's messages would fill more than this part of the limits.
-    fn spend_on(&mut self, now: Duration, lines: f64, whom: &[Proxy], part: f64) -> Option<()> {
-        let number = |name: &str| self.terms.number(name).filter(|number| *number > 0.0);
-        let head = number("fleet.message_head_lines").unwrap_or(0.0);
-        let pace = number("fleet.channel_lines_per_s").unwrap_or(f64::MAX);
-        let most = number("fleet.queue_most_lines").unwrap_or(f64::MAX);
-        let messages = number("fleet.messages_most").unwrap_or(f64::MAX);
+    /// Pace: takes lines off the budget for each of these proxies; none if the queue or a proxy's
+    /// messages would then fill more than this part of the limits.
+    fn spend(&mut self, now: Duration, lines: usize, whom: Vec<Proxy>, part: f64) -> Option<()> {
+        let head = self.terms.number("fleet.message_head_lines").unwrap_or(0.0);
+        let most = self.terms.limit("fleet.messages_most") * part;
         let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
-        let sent = (now - self.queued.1).as_secs_f64() * pace / SLOWEST;
+        let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
+        let sent = (now - self.queued.1).as_secs_f64() * pace;
         self.queued = ((self.queued.0 - sent).max(0.0), now);
-        let mut cost = lines * whom.len() as f64;
+        let mut cost = (lines * whom.len()) as f64;
         let mut first = Vec::new();
         for proxy in whom {
-            let joined = self.proxies.get_mut(proxy)?;
+            let joined = self.proxies.get_mut(&proxy)?;
             joined.messages.retain(|time| *time + span >= now);
             if joined.messages.back() != Some(&now) {
                 cost += head;
-                first.push(*proxy);
-                if joined.messages.len() as f64 >= messages * part {
+                first.push(proxy);
+                if joined.messages.len() as f64 >= most {
                     return None;
                 }
             }
         }
-        if self.queued.0 + cost > most * part {
+        if self.queued.0 + cost > self.terms.limit("fleet.queue_most_lines") * part {
             return None;
         }
         self.queued.0 += cost;
@@ -775,13 +763,6 @@
         Some(())
     }
 
-    /// Common changes are so far apart that they leave room within the limit on messages.
-    fn push_gap(&self) -> Duration {
-        let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
-        let most = self.terms.number("fleet.messages_most").filter(|most| *most > 0.0);
-        most.map_or(GATHER, |most| span.div_f64(most * COMMON).max(GATHER))
-    }
-
     fn period(&self) -> Duration {
         self.terms.time("fleet.report_period_us").filter(|time| !time.is_zero()).unwrap_or(PROBE_STEADY)
     }
