--- a/src/logic.rs
+++ b/src/logic.rs
@@ -111,7 +111,6 @@
     warm_at: Duration,
     /// Share of its weight that relief leaves it.
     relief: f64,
-    relief_moved: Duration,
     /// Reports before this time tell of the server as it was before it started or came back.
     heed_from: Duration,
     /// Condemned by reports: passing probes don't count before this time.
@@ -130,6 +129,15 @@
         self.counter.is_some_and(|counter| counter >= RISE || now < self.answers_until)
     }
 
+    /// So many results come in at once; the first one decides directly.
+    fn moved(&mut self, by: i32) {
+        self.counter = match self.counter {
+            None if by == 0 => None,
+            None => Some(if by > 0 { TOP } else { 0 }),
+            Some(counter) => Some(counter.saturating_add_signed(by).min(TOP)),
+        };
+    }
+
     fn barred(&self, terms: &Terms) -> bool {
         match self.listing.state {
             Listed::Ready => false,
@@ -186,11 +194,6 @@
     fn held(&self, server: Server) -> f64 {
         self.lines.get(&server).copied().unwrap_or(0.0)
     }
-
-    /// Earnings per work; how much work a visit is, is not known, but its contract time tells.
-    fn rank(&self) -> f64 {
-        self.earnings / self.contract
-    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -207,10 +210,10 @@
     proxies: BTreeMap<Proxy, Joined>,
     /// All due times but that of the beat.
     due: BTreeSet<(Duration, Due)>,
-    probes: VecDeque<Server>,
-    notes: VecDeque<(Option<Server>, String)>,
-    fleet: Tally,
-    levels_moved: Duration,
+    /// Probes and notes that wait to be pulled.
+    ready: VecDeque<Decision>,
+    /// Relief and levels rest until then, for reports to tell what they changed.
+    next_step: Duration,
     /// Started servers are not safe before this time. Proxies that are refused or fail elsewhere, that
     /// still shun what they could not reach, or that come back all at once as levels rise, bring all
     /// to a server that was just started, however small its weight.
@@ -220,9 +223,8 @@
     next_review: Duration,
     next_resend: Duration,
     next_push: Duration,
-    /// Common changes may go out at this time; all that differs, or what is worth its line.
-    pushing: Option<Duration>,
-    resending: bool,
+    /// Common changes may go out at this time: all that differs, or what is worth its line.
+    pushing: Option<(Duration, bool)>,
     /// Lines that wait in the channel, as far as that is known, at a time.
     queued: (f64, Duration),
 }
@@ -256,17 +258,14 @@
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             due: BTreeSet::new(),
-            probes: VecDeque::new(),
-            notes: VecDeque::new(),
-            fleet: Tally::default(),
-            levels_moved: Duration::ZERO,
+            ready: VecDeque::new(),
+            next_step: Duration::ZERO,
             uneasy_until: Duration::ZERO,
             next_beat: Duration::ZERO,
             next_review: Duration::ZERO,
             next_resend: RESEND,
             next_push: Duration::ZERO,
             pushing: None,
-            resending: false,
             queued: (0.0, Duration::ZERO),
             terms,
         }
@@ -309,19 +308,17 @@
     /// A probe ended after `took`.
     pub fn probed(&mut self, now: Duration, server: Server, finding: Finding, took: Duration) {
         let Some(known) = self.servers.get_mut(&server) else { return };
+        let by = match finding {
+            Finding::Passed => i32::from(now >= known.doubted_until),
+            Finding::TurnedAway => 0,
+            Finding::Failed | Finding::Refused => -1,
+        };
         // What comes after the wait was counted as lost then.
-        if took > PROBE_WAIT || known.probe_sent.take().is_none() {
-            return;
-        }
-        match finding {
-            Finding::Passed if now < known.doubted_until => {}
-            Finding::Passed => self.moved(now, server, 1),
-            Finding::Failed => self.moved(now, server, -1),
-            Finding::Refused => {
+        if took <= PROBE_WAIT && known.probe_sent.is_some() {
+            if finding == Finding::Refused {
                 known.answers_until = now;
-                self.moved(now, server, -1);
             }
-            Finding::TurnedAway => {}
+            self.probe_ended(now, server, by);
         }
     }
 
@@ -375,13 +372,10 @@
 
     pub fn next_decision(&mut self, now: Duration) -> Option<Decision> {
         self.pass_time(now);
-        if let Some((about, text)) = self.notes.pop_front() {
-            return Some(Decision::Note { about, text });
-        }
         self.withdrawal(now)
             .or_else(|| self.change(now))
             .or_else(|| self.binding(now))
-            .or_else(|| self.probes.pop_front().map(Decision::Probe))
+            .or_else(|| self.ready.pop_front())
     }
 
     fn pass_time(&mut self, now: Duration) {
@@ -389,12 +383,7 @@
             self.due.remove(&(time, due));
             match due {
                 Due::Probe(server) => self.probe(now, server),
-                Due::ProbeLost(server) => {
-                    let known = self.servers.get_mut(&server);
-                    if known.is_some_and(|known| known.probe_sent.take().is_some()) {
-                        self.moved(now, server, -1);
-                    }
-                }
+                Due::ProbeLost(server) => self.probe_ended(now, server, -1),
             }
         }
         if now < self.next_beat {
@@ -414,17 +403,15 @@
             }
         }
         if now >= self.next_push {
-            self.pushing = Some(now);
-            self.resending = now >= self.next_resend;
-            if self.resending {
-                self.next_resend = now + RESEND;
-            }
+            let all = now >= self.next_resend;
+            self.next_resend = if all { now + RESEND } else { self.next_resend };
+            self.pushing = Some((now, all));
         }
     }
 
     fn release(&mut self, class: Class, why: &str) {
         if !std::mem::replace(&mut self.tables[class].released, true) {
-            self.notes.push_back((None, format!("{}: table released, {why}", self.class_name(class))));
+            self.note(format!("{}: table released, {why}", self.class_name(class)));
         }
     }
 
@@ -438,36 +425,27 @@
 
     fn probe(&mut self, now: Duration, server: Server) {
         let Some(known) = self.servers.get_mut(&server) else { return };
-        let interval = match known.counter {
-            _ if known.barred(&self.terms) => PROBE_DOWN,
-            Some(0) => PROBE_DOWN,
-            Some(TOP) => PROBE_STEADY,
-            _ => PROBE_BETWEEN,
-        };
-        if known.probe_sent.is_none() && !known.barred(&self.terms) {
+        if known.barred(&self.terms) {
+            self.schedule(server, now + PROBE_DOWN);
+        } else if known.probe_sent.is_none() {
             known.probe_sent = Some(now);
-            self.probes.push_back(server);
+            self.ready.push_back(Decision::Probe(server));
             self.due.insert((now + PROBE_WAIT, Due::ProbeLost(server)));
         }
-        let next = now + self.jitter(interval, JITTER);
-        self.schedule(server, next);
     }
 
-    /// Moves a server's counter by so many results.
-    fn moved(&mut self, now: Duration, server: Server, by: i32) {
+    /// The result of the probe that is out, if one is, moves the counter and sets the next probe.
+    fn probe_ended(&mut self, now: Duration, server: Server, by: i32) {
         let Some(known) = self.servers.get_mut(&server) else { return };
-        let counter = match known.counter {
-            None if by > 0 => TOP,
-            None => 0,
-            Some(counter) => counter.saturating_add_signed(by).min(TOP),
+        let Some(sent) = known.probe_sent.take() else { return };
+        known.moved(by);
+        let interval = match known.counter {
+            Some(0) => PROBE_DOWN,
+            Some(TOP) => PROBE_STEADY,
+            _ => PROBE_BETWEEN,
         };
-        known.counter = Some(counter);
-        // The interval follows the counter at once.
-        let soon = now + PROBE_BETWEEN;
-        let later = self.due.iter().any(|(time, due)| *due == Due::Probe(server) && *time > soon);
-        if counter != 0 && counter != TOP && later {
-            self.schedule(server, soon);
-        }
+        let next = now.max(sent + self.jitter(interval, JITTER));
+        self.schedule(server, next);
     }
 
     /// Once a report period: what proxies met moves counters, relief and levels.
@@ -475,10 +453,9 @@
         let (contract, settle) = (self.contract(), self.settle());
         let up = self.servers.values().filter(|known| known.up(now));
         let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
-        self.fleet = fresh.over(self.fleet, FADE);
         self.tables.iter_mut().for_each(|table| table.demand *= 1.0 - FADE / 4.0);
-        let bearable = LATE.max(WORSE * self.fleet.lateness(contract));
-        let mut moves = Vec::new();
+        let bearable = LATE.max(WORSE * fresh.lateness(contract));
+        let step = now >= self.next_step;
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
             (known.last, known.recent) = (seen, seen.over(known.recent, FADE));
@@ -487,51 +464,45 @@
                 Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
             if fails && known.up(now) && !known.barred(&self.terms) && others.failing() < SOUND {
-                moves.push((*server, -(FALL as i32)));
+                known.moved(-(FALL as i32));
                 known.doubted_until = now + RESEND;
                 // It comes back, on passing probes, with a part that costs little if it still fails.
                 (known.answers_until, known.relief) = (now, RELIEF_LEAST);
                 known.heed_from = known.doubted_until + settle;
                 let text =
                     format!("fails {:.0} of {:.0} tries, though probes may pass", seen.failed, seen.tries);
-                self.notes.push_back((Some(*server), text));
+                self.ready.push_back(Decision::Note { about: Some(*server), text });
             } else if seen.tries >= f64::from(RISE) && seen.failing() < SOUND && known.counter.is_some() {
-                moves.push((*server, RISE as i32));
+                known.moved(RISE as i32);
             }
             // Relief: a slow server keeps a part that it can do, and regains the rest bit by bit.
-            if now < known.relief_moved + settle || known.recent.tries < f64::from(FALL) {
-                continue;
-            }
             let (late, was) = (known.recent.lateness(contract), known.relief);
-            if late > bearable {
+            if !step || known.recent.tries < f64::from(FALL) {
+                continue;
+            } else if late > bearable {
                 known.relief = (was * (bearable / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
             } else if late < ROOM {
                 known.relief = (was + RELIEF_BACK).min(1.0);
             }
-            if known.relief != was {
-                known.relief_moved = now;
-            }
         }
-        for (server, by) in moves {
-            self.moved(now, server, by);
+        if step {
+            self.next_step = now + settle;
+            self.shed();
         }
-        self.shed(now);
         let shedding = self.tables.iter().any(|table| table.level < 1.0);
-        let well = self.fleet.tries >= 1.0 && self.fleet.failing() <= SOUND;
-        if shedding || !well || self.fleet.lateness(contract) > LATE {
+        let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
+        if shedding || !well || fresh.lateness(contract) > LATE {
             self.uneasy_until = self.uneasy_until.max(now + self.warm_within().mul_f64(UNEASY));
         }
     }
 
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
     /// and come back as their servers find time again.
-    fn shed(&mut self, now: Duration) {
-        if now < self.levels_moved + self.settle() {
-            return;
-        }
+    fn shed(&mut self) {
         let late: Vec<f64> = (0..self.tables.len()).map(|class| self.lateness(class)).collect();
         let mut order: Vec<Class> = (0..self.tables.len()).collect();
-        order.sort_by(|a, b| self.tables[*a].rank().total_cmp(&self.tables[*b].rank()));
+        let rank = |class: &Class| self.tables[*class].earnings / self.tables[*class].contract;
+        order.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
         let worst = late.iter().fold(LATE, |worst, late| worst.max(*late));
         let work = |table: &Table| table.contract * table.demand.max(1e-9);
         let suffering = order.iter().filter(|class| late[**class] > LATE).map(|class| &self.tables[*class]);
@@ -547,9 +518,6 @@
             } else if late[class] < ROOM {
                 table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
             }
-            if table.level != was {
-                self.levels_moved = now;
-            }
         }
     }
 
@@ -594,7 +562,8 @@
     /// Changed lines, ranked by the traffic that each moves. A server that was started anew loses its
     /// weight without waiting for the next push: the grace runs.
     fn change(&mut self, now: Duration) -> Option<Decision> {
-        let pushing = self.pushing == Some(now);
+        let pushing = self.pushing.is_some_and(|(time, _)| time == now);
+        let all = self.pushing == Some((now, true));
         if let Some(decision) = pushing.then(|| self.admit(now)).flatten() {
             return Some(decision);
         }
@@ -607,7 +576,7 @@
                 let off = (weight - held).abs();
                 let small = off <= TOLERANCE * weight.max(held) && held > 0.0 && weight > 0.0;
                 let urgent = self.servers[&server].cold(now) && weight < held && !small;
-                let due = urgent || pushing && off > 0.0 && (!small || self.resending);
+                let due = urgent || pushing && off > 0.0 && (!small || all);
                 let rank = (urgent, off / total.max(1e-9) * (1.0 + table.demand));
                 if due && !self.servers[&server].withdrawn && best.is_none_or(|(u, m, ..)| rank > (u, m)) {
                     best = Some((urgent, rank.1, class, server));
@@ -638,7 +607,7 @@
         if before.is_some_and(|(before, _)| before != share) {
             let (name, late) = (self.class_name(class), self.lateness(class));
             let text = format!("{name}: {:.0}% let in, answers take {late:.1} contract times", share * 100.0);
-            self.notes.push_back((None, text));
+            self.note(text);
         }
         Some(Decision::Admit { class, share, second })
     }
@@ -652,7 +621,7 @@
                 }
                 if !self.tables[class].released && self.runs_out(class, self.proxies[&proxy].zone) {
                     self.release(class, "standing tables may hold nothing but withdrawn servers");
-                    self.pushing = Some(now);
+                    self.pushing = Some((now, true));
                     return self.next_decision(now);
                 }
                 if !self.tables[class].released || self.tables[class].lines.is_empty() {
@@ -740,25 +709,25 @@
         let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
         let sent = (now - self.queued.1).as_secs_f64() * pace;
         self.queued = ((self.queued.0 - sent).max(0.0), now);
+        // All that goes to a proxy at one time is one message.
+        let new = |joined: &Joined| joined.messages.back() != Some(&now);
         let mut cost = (lines * whom.len()) as f64;
-        let mut first = Vec::new();
-        for proxy in whom {
-            let joined = self.proxies.get_mut(&proxy)?;
+        for proxy in &whom {
+            let joined = self.proxies.get_mut(proxy)?;
             joined.messages.retain(|time| *time + span >= now);
-            if joined.messages.back() != Some(&now) {
-                cost += head;
-                first.push(proxy);
-                if joined.messages.len() as f64 >= most {
-                    return None;
-                }
+            cost += if new(joined) { head } else { 0.0 };
+            if new(joined) && joined.messages.len() as f64 >= most {
+                return None;
             }
         }
         if self.queued.0 + cost > self.terms.limit("fleet.queue_most_lines") * part {
             return None;
         }
         self.queued.0 += cost;
-        for proxy in first {
-            self.proxies.get_mut(&proxy)?.messages.push_back(now);
+        for (_, joined) in
+            self.proxies.iter_mut().filter(|(proxy, joined)| whom.contains(proxy) && new(joined))
+        {
+            joined.messages.push_back(now);
         }
         Some(())
     }
@@ -783,6 +752,10 @@
         sum / self.tables.iter().map(visits).sum::<f64>()
     }
 
+    fn note(&mut self, text: String) {
+        self.ready.push_back(Decision::Note { about: None, text });
+    }
+
     fn class_name(&self, class: Class) -> &str {
         self.terms.text(&format!("classes.{class}.name")).unwrap_or("a class without a name")
     }
