--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,7 +49,7 @@
 /// A server is late on its own only if it is so much worse than the fleet.
 const WORSE: f64 = 1.6;
 /// One step of relief takes at most this much, one step back gives so much.
-const RELIEF_DROP: f64 = 0.5;
+const RELIEF_DROP: f64 = 0.7;
 const RELIEF_BACK: f64 = 0.04;
 const RELIEF_LEAST: f64 = 0.3;
 /// What at least stays let in after one step, how it grows back in one, and what always stays.
@@ -214,6 +214,7 @@
     ready: VecDeque<Decision>,
     /// Relief and levels rest until then, for reports to tell what they changed.
     next_step: Duration,
+    next_relief: Duration,
     /// Started servers are not safe before this time. Proxies that are refused or fail elsewhere, that
     /// still shun what they could not reach, or that come back all at once as levels rise, bring all
     /// to a server that was just started, however small its weight.
@@ -260,6 +261,7 @@
             due: BTreeSet::new(),
             ready: VecDeque::new(),
             next_step: Duration::ZERO,
+            next_relief: Duration::ZERO,
             uneasy_until: Duration::ZERO,
             next_beat: Duration::ZERO,
             next_review: Duration::ZERO,
@@ -455,7 +457,8 @@
         let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
         self.tables.iter_mut().for_each(|table| table.demand *= 1.0 - FADE / 4.0);
         let bearable = LATE.max(WORSE * fresh.lateness(contract));
-        let step = now >= self.next_step;
+        let step = now >= self.next_relief;
+        self.next_relief = if step { now + settle } else { self.next_relief };
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
             (known.last, known.recent) = (seen, seen.over(known.recent, FADE));
@@ -477,7 +480,7 @@
             }
             // Relief: a slow server keeps a part that it can do, and regains the rest bit by bit.
             let (late, was) = (known.recent.lateness(contract), known.relief);
-            if !step || known.recent.tries < f64::from(FALL) {
+            if known.recent.tries < f64::from(FALL) {
                 continue;
             } else if late > bearable {
                 known.relief = (was * (bearable / late).max(RELIEF_DROP)).max(RELIEF_LEAST);
@@ -485,9 +488,8 @@
                 known.relief = (was + RELIEF_BACK).min(1.0);
             }
         }
-        if step {
+        if now >= self.next_step && self.shed() {
             self.next_step = now + settle;
-            self.shed();
         }
         let shedding = self.tables.iter().any(|table| table.level < 1.0);
         let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
@@ -497,8 +499,9 @@
     }
 
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
-    /// and come back as their servers find time again.
-    fn shed(&mut self) {
+    /// and come back as their servers find time again. Whether any level moved.
+    fn shed(&mut self) -> bool {
+        let was: Vec<f64> = self.tables.iter().map(|table| table.level).collect();
         let late: Vec<f64> = (0..self.tables.len()).map(|class| self.lateness(class)).collect();
         let mut order: Vec<Class> = (0..self.tables.len()).collect();
         let rank = |class: &Class| self.tables[*class].earnings / self.tables[*class].contract;
@@ -519,6 +522,7 @@
                 table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
             }
         }
+        self.tables.iter().zip(was).any(|(table, was)| table.level != was)
     }
 
     /// How late the servers of a class are, by the part that each has in its table.
