--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! lockcroft decides, for a fleet of plain proxies, which servers each class of visits may use
 //! and at what weight. All decisions are in [`logic`]; this crate knows no wire and no clock.
 
+mod chance;
 pub mod logic;
 mod terms;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,8 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use nanorand::{Rng, WyRand};
-
+use crate::chance::Chance;
 use crate::{Class, Decision, Finding, Kind, Listed, Listing, Proxy, SecondTry, Server, Terms, Zone};
 
 // The design's figures, from its page.
@@ -57,8 +56,9 @@
 const SHED_BACK: f64 = 2.0;
 const LEVEL_STEP: f64 = 0.05;
 const ADMIT_LEAST: f64 = 0.1;
-/// What a report adds fades by this share each report period.
-const FADE: f64 = 0.5;
+/// This share of what reports told of a server is kept each report period, and of what came.
+const FADE: f64 = 0.3;
+const KEEP: f64 = 0.9;
 /// Reports tell of a change after so many report periods and the way of a message.
 const SETTLE: f64 = 1.5;
 /// The fleet stays uneasy for this part of the time in which a server warms up.
@@ -115,9 +115,8 @@
     heed_from: Duration,
     /// Condemned by reports: passing probes don't count before this time.
     doubted_until: Duration,
-    /// What reports told since the last review, in the period before it, and of late.
+    /// What reports told since the last review, and of late.
     fresh: Tally,
-    last: Tally,
     recent: Tally,
     withdrawn: bool,
 }
@@ -152,12 +151,9 @@
 
     /// The share of its work that it can surely do, growing evenly from the cold share.
     fn warmth(&self, now: Duration, terms: &Terms) -> f64 {
-        if !self.cold(now) {
-            return 1.0;
-        }
-        let cold_share = terms.number("rules.cold_share").unwrap_or(1.0);
-        let part = (now - self.started.min(now)).div_duration_f64(self.warm_at - self.started);
-        cold_share + (1.0 - cold_share) * part
+        let left = self.warm_at.saturating_sub(now).as_secs_f64();
+        let all = (self.warm_at - self.started).as_secs_f64().max(1e-6);
+        1.0 - (1.0 - terms.number("rules.cold_share").unwrap_or(1.0)) * left / all
     }
 }
 
@@ -165,11 +161,12 @@
     zone: Zone,
     /// By class.
     bound: Vec<bool>,
-    /// When messages went to it, within the span that is limited.
+    /// When messages went to it of late.
     messages: VecDeque<Duration>,
 }
 
 /// A class and its table.
+#[derive(Default)]
 struct Table {
     contract: f64,
     earnings: f64,
@@ -202,9 +199,10 @@
     ProbeLost(Server),
 }
 
+#[derive(Default)]
 pub struct Pilot {
     terms: Terms,
-    chance: WyRand,
+    chance: Chance,
     tables: Vec<Table>,
     servers: BTreeMap<Server, Known>,
     proxies: BTreeMap<Proxy, Joined>,
@@ -214,7 +212,6 @@
     ready: VecDeque<Decision>,
     /// Relief and levels rest until then, for reports to tell what they changed.
     next_step: Duration,
-    next_relief: Duration,
     /// Started servers are not safe before this time. Proxies that are refused or fail elsewhere, that
     /// still shun what they could not reach, or that come back all at once as levels rise, bring all
     /// to a server that was just started, however small its weight.
@@ -232,45 +229,20 @@
 
 impl Pilot {
     pub fn new(terms: Terms, seed: u64) -> Self {
-        // Places are numbered as the terms number them.
-        let places = |names: &str, some: String| {
-            let (names, some) = (terms.texts(names), terms.texts(&some));
-            let found = some.iter().filter_map(|one| names.iter().position(|name| name == one)).collect();
-            (!some.is_empty()).then_some(found)
-        };
         let table = |class: Class| {
             let name = |what: &str| format!("classes.{class}.{what}");
             let contract = terms.time(&name("contract_time_us")).filter(|time| !time.is_zero());
             Table {
                 contract: contract.unwrap_or(PROBE_STEADY).as_secs_f64(),
                 earnings: terms.number(&name("earnings")).unwrap_or(1.0),
-                zones: places("zones", name("only_zones")),
-                kinds: places("kinds", name("only_kinds")),
-                released: false,
-                lines: BTreeMap::new(),
-                admitted: None,
+                zones: terms.positions(&name("only_zones"), "zones"),
+                kinds: terms.positions(&name("only_kinds"), "kinds"),
                 level: 1.0,
-                demand: 0.0,
+                ..Table::default()
             }
         };
-        Pilot {
-            chance: WyRand::new_seed(seed),
-            tables: (0..terms.count("classes")).map(table).collect(),
-            servers: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            due: BTreeSet::new(),
-            ready: VecDeque::new(),
-            next_step: Duration::ZERO,
-            next_relief: Duration::ZERO,
-            uneasy_until: Duration::ZERO,
-            next_beat: Duration::ZERO,
-            next_review: Duration::ZERO,
-            next_resend: RESEND,
-            next_push: Duration::ZERO,
-            pushing: None,
-            queued: (0.0, Duration::ZERO),
-            terms,
-        }
+        let tables = (0..terms.count("classes")).map(table).collect();
+        Pilot { chance: Chance::new(seed), tables, next_resend: RESEND, terms, ..Pilot::default() }
     }
 
     // What became known.
@@ -317,9 +289,7 @@
         };
         // What comes after the wait was counted as lost then.
         if took <= PROBE_WAIT && known.probe_sent.is_some() {
-            if finding == Finding::Refused {
-                known.answers_until = now;
-            }
+            known.answers_until = if finding == Finding::Refused { now } else { known.answers_until };
             self.probe_ended(now, server, by);
         }
     }
@@ -455,25 +425,21 @@
         let (contract, settle) = (self.contract(), self.settle());
         let up = self.servers.values().filter(|known| known.up(now));
         let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
-        self.tables.iter_mut().for_each(|table| table.demand *= 1.0 - FADE / 4.0);
+        self.tables.iter_mut().for_each(|table| table.demand *= KEEP);
         let bearable = LATE.max(WORSE * fresh.lateness(contract));
-        let step = now >= self.next_relief;
-        self.next_relief = if step { now + settle } else { self.next_relief };
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
-            (known.last, known.recent) = (seen, seen.over(known.recent, FADE));
+            known.recent = seen.over(known.recent, FADE);
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
-            let others =
-                Tally { tries: fresh.tries - seen.tries, failed: fresh.failed - seen.failed, ..fresh };
+            let others = (fresh.failed - seen.failed) / (fresh.tries - seen.tries).max(1.0);
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
-            if fails && known.up(now) && !known.barred(&self.terms) && others.failing() < SOUND {
+            if fails && known.up(now) && !known.barred(&self.terms) && others < SOUND {
                 known.moved(-(FALL as i32));
                 known.doubted_until = now + RESEND;
                 // It comes back, on passing probes, with a part that costs little if it still fails.
                 (known.answers_until, known.relief) = (now, RELIEF_LEAST);
                 known.heed_from = known.doubted_until + settle;
-                let text =
-                    format!("fails {:.0} of {:.0} tries, though probes may pass", seen.failed, seen.tries);
+                let text = format!("fails {:.0} of {:.0} tries", seen.failed, seen.tries);
                 self.ready.push_back(Decision::Note { about: Some(*server), text });
             } else if seen.tries >= f64::from(RISE) && seen.failing() < SOUND && known.counter.is_some() {
                 known.moved(RISE as i32);
@@ -501,7 +467,6 @@
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
     /// and come back as their servers find time again. Whether any level moved.
     fn shed(&mut self) -> bool {
-        let was: Vec<f64> = self.tables.iter().map(|table| table.level).collect();
         let late: Vec<f64> = (0..self.tables.len()).map(|class| self.lateness(class)).collect();
         let mut order: Vec<Class> = (0..self.tables.len()).collect();
         let rank = |class: &Class| self.tables[*class].earnings / self.tables[*class].contract;
@@ -511,6 +476,7 @@
         let suffering = order.iter().filter(|class| late[**class] > LATE).map(|class| &self.tables[*class]);
         let let_in: f64 = suffering.map(|table| work(table) * table.level).sum();
         let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
+        let mut any_moved = false;
         for class in order {
             let table = &mut self.tables[class];
             let was = table.level;
@@ -521,18 +487,21 @@
             } else if late[class] < ROOM {
                 table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
             }
+            any_moved |= table.level != was;
         }
-        self.tables.iter().zip(was).any(|(table, was)| table.level != was)
+        any_moved
     }
 
     /// How late the servers of a class are, by the part that each has in its table.
     fn lateness(&self, class: Class) -> f64 {
-        let contract = self.contract();
-        let lines = self.tables[class].lines.iter().map(|(server, weight)| (&self.servers[server], weight));
-        let told = lines.filter(|(known, _)| known.last.tries >= 1.0 && !known.withdrawn);
-        let (sum, all) = told.fold((0.0, 0.0), |(sum, all), (known, weight)| {
-            (sum + weight * known.last.lateness(contract), all + weight)
-        });
+        let (mut sum, mut all) = (0.0, 0.0);
+        for (server, weight) in &self.tables[class].lines {
+            let known = &self.servers[server];
+            if known.recent.tries >= 1.0 && !known.withdrawn {
+                sum += weight * known.recent.lateness(self.contract());
+                all += weight;
+            }
+        }
         if all > 0.0 { sum / all } else { 0.0 }
     }
 
@@ -657,13 +626,10 @@
     fn desired(&self, now: Duration, class: Class) -> BTreeMap<Server, f64> {
         let table = &self.tables[class];
         // A cold server gets nothing while the fleet is uneasy or a probe of its own fails.
-        let calm =
-            |known: &Known| now >= self.uneasy_until && known.counter.is_none_or(|counter| counter == TOP);
+        let safe = |known: &Known| now >= self.uneasy_until && known.counter.unwrap_or(TOP) == TOP;
         let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
-        let full = |known: &Known| match !known.cold(now) || calm(known) {
-            true => grid(listed(known) * known.relief),
-            false => 0.0,
-        };
+        let carries = |known: &Known| !known.cold(now) || safe(known);
+        let full = |known: &Known| if carries(known) { grid(listed(known) * known.relief) } else { 0.0 };
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up(now) || known.counter.is_none() && now < HOLD_LEAST;
         let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
@@ -690,11 +656,8 @@
     fn weigh(&mut self, now: Duration, class: Class, server: Server, part: f64) -> Option<Decision> {
         let weight = *self.desired(now, class).get(&server)?;
         self.spend(now, 1, self.on(Some(class)), part)?;
-        if weight > 0.0 {
-            self.tables[class].lines.insert(server, weight);
-        } else {
-            self.tables[class].lines.remove(&server);
-        }
+        self.tables[class].lines.insert(server, weight);
+        self.tables[class].lines.retain(|_, weight| *weight > 0.0);
         Some(Decision::Weigh { class, server, weight })
     }
 
@@ -765,8 +728,7 @@
     }
 
     fn jitter(&mut self, interval: Duration, share: f64) -> Duration {
-        let drawn = f64::from(self.chance.generate::<u32>()) / f64::from(u32::MAX);
-        interval.mul_f64(1.0 - share * drawn)
+        interval.mul_f64(1.0 - share * self.chance.draw())
     }
 }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -55,6 +55,13 @@
         (0..).map_while(|i| self.text(&format!("{name}.{i}"))).collect()
     }
 
+    /// Where the texts of one list stand in another; `None` if the list is not there.
+    pub fn positions(&self, list: &str, among: &str) -> Option<Vec<usize>> {
+        let (some, all) = (self.texts(list), self.texts(among));
+        let found = some.iter().filter_map(|one| all.iter().position(|name| name == one)).collect();
+        (!some.is_empty()).then_some(found)
+    }
+
     fn has_below(&self, prefix: &str) -> bool {
         let next = self.0.range(prefix.to_string()..).next();
         next.is_some_and(|(name, _)| {
