--- a/tests/design.rs
+++ b/tests/pilot/design.rs
@@ -1,8 +1,6 @@
 //! The design's ordinary path.
 
-mod common;
-
-use common::*;
+use crate::stage::*;
 use expect_test::expect;
 use lockcroft::{Finding, Listed};
 
--- a/tests/failures.rs
+++ b/tests/pilot/failures.rs
@@ -1,8 +1,6 @@
 //! One test for each failure found. Each says which rule or loss it guards against.
 
-mod common;
-
-use common::*;
+use crate::stage::*;
 use expect_test::expect;
 use lockcroft::{Finding, Listed};
 
--- /dev/null
+++ b/tests/pilot/main.rs
@@ -0,0 +1,5 @@
+//! What the pilot decides, as short printed traces.
+
+mod design;
+mod failures;
+mod stage;
