--- a/src/logic.rs
+++ b/src/logic.rs
@@ -476,27 +476,20 @@
         let suffering = order.iter().filter(|class| late[**class] > LATE).map(|class| &self.tables[*class]);
         let let_in: f64 = suffering.map(|table| work(table) * table.level).sum();
         let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
-        let eased = |class: &Class| late[*class] < ROOM;
-        let growth = |class: &Class| (LATE / late[*class]).min(SHED_BACK) - 1.0;
-        let back =
-            order.iter().filter(|class| eased(class)).map(|class| (growth(class), &self.tables[*class]));
-        let mut back: f64 = back.map(|(growth, table)| growth * work(table) * table.level).sum();
-        let was: Vec<f64> = self.tables.iter().map(|table| table.level).collect();
-        for class in &order {
-            let table = &mut self.tables[*class];
-            let cut = out.min(work(table) * (table.level - ADMIT_LEAST).max(0.0));
-            if late[*class] > LATE {
+        let mut any_moved = false;
+        for class in order {
+            let table = &mut self.tables[class];
+            let was = table.level;
+            if late[class] > LATE {
+                let cut = out.min(work(table) * (was - ADMIT_LEAST).max(0.0));
                 out -= cut;
-                table.level -= cut / work(table);
+                table.level = was - cut / work(table);
+            } else if late[class] < ROOM {
+                table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
             }
+            any_moved |= table.level != was;
         }
-        for class in order.iter().rev().filter(|class| eased(class)) {
-            let table = &mut self.tables[*class];
-            let add = back.min(work(table) * (1.0 - table.level));
-            back -= add;
-            table.level = (table.level + add / work(table)).min(1.0);
-        }
-        self.tables.iter().zip(was).any(|(table, was)| table.level != was)
+        any_moved
     }
 
     /// How late the servers of a class are, by the part that each has in its table.
