--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,7 +55,7 @@
 const SHED_STEP: f64 = 0.6;
 const SHED_BACK: f64 = 2.0;
 const LEVEL_STEP: f64 = 0.05;
-const ADMIT_LEAST: f64 = 0.1;
+const ADMIT_LEAST: f64 = 0.2;
 /// This share of what reports told of a server is kept each report period, and of what came.
 const FADE: f64 = 0.3;
 const KEEP: f64 = 0.9;
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -121,20 +121,22 @@
         10.0 class 0: admit 1 Never
         10.0 class 1: admit 0.5 Never
         10.0 # book: 50% let in, answers take 0.7 contract times
-        12.0 class 1: admit 0.1 Never
-        12.0 # book: 10% let in, answers take 1.0 contract times
-        14.0 class 0: admit 0.55 Never
-        14.0 # look: 55% let in, answers take 1.0 contract times
-        16.0 class 0: admit 1 IfNeverRan
-        16.0 class 1: admit 0.2 Never
-        16.0 # look: 100% let in, answers take 0.2 contract times
-        16.0 # book: 20% let in, answers take 0.2 contract times
-        18.0 class 1: admit 0.4 Never
-        18.0 # book: 40% let in, answers take 0.1 contract times
-        20.0 class 1: admit 0.8 Never
-        20.0 # book: 80% let in, answers take 0.1 contract times
-        22.0 class 1: admit 1 IfNeverRan
-        22.0 # book: 100% let in, answers take 0.1 contract times
+        12.0 class 0: admit 0.8 Never
+        12.0 class 1: admit 0.2 Never
+        12.0 # look: 80% let in, answers take 1.0 contract times
+        12.0 # book: 20% let in, answers take 1.0 contract times
+        14.0 class 0: admit 0.35 Never
+        14.0 # look: 35% let in, answers take 1.0 contract times
+        16.0 class 0: admit 0.65 Never
+        16.0 class 1: admit 0.4 Never
+        16.0 # look: 65% let in, answers take 0.2 contract times
+        16.0 # book: 40% let in, answers take 0.2 contract times
+        18.0 class 0: admit 1 IfNeverRan
+        18.0 class 1: admit 0.8 Never
+        18.0 # look: 100% let in, answers take 0.1 contract times
+        18.0 # book: 80% let in, answers take 0.1 contract times
+        20.0 class 1: admit 1 IfNeverRan
+        20.0 # book: 100% let in, answers take 0.1 contract times
     "#]]
     .assert_eq(&trace);
 }
