Let a class with more choice make room for one with less; mend probe time-outs

Where the class with less choice is late, the other keeps a fifth of its part there and regains it slowly. Also: the time-out of an answered probe could count against the next probe, up to half a second later.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,11 +9,11 @@
 //! up and none otherwise; one shared table a class; only changed lines go out; after a start nothing
 //! is pushed until probes converge. Beside it stand six mechanisms:
 //! 1. Evidence: what proxies met at a server moves its counter too, up and down.
-//! 2. Relief: an up server that misses the contract time drops in weight and regains it slowly.
-//! 3. Return: a server that was just started begins with the stated cold share, or with none.
+//! 2. Relief: servers that miss the contract time drop in weight, first for classes with more choice.
+//! 3. Return: a started server begins with the stated cold share, or with none while all is uneasy.
 //! 4. Pace: one budget for the queue and the message limit, with room kept for drains.
-//! 5. Admission: when the fleet as a whole is late, the least earnings per work stay out.
-//! 6. Second tries: after proof that the first never ran, and only while there is headroom.
+//! 5. Admission: where a class's servers are late as a whole, the least earnings per work stay out.
+//! 6. Second tries: only after proof that the first never ran, and while there is headroom.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -41,8 +41,7 @@
 /// Share of failed tries from which a server is taken to be down, and below which it is well.
 const FAILING: f64 = 0.85;
 const SOUND: f64 = 0.2;
-/// Mean time over contract time from which a server or the fleet counts as late, and below which
-/// there is room again.
+/// Mean time over contract time from which servers count as late, and below which there is room.
 const LATE: f64 = 0.5;
 const ROOM: f64 = 0.35;
 /// A server is late on its own only if it is so much worse than the fleet.
@@ -51,11 +50,10 @@
 const RELIEF_DROP: f64 = 0.7;
 const RELIEF_BACK: f64 = 0.04;
 const RELIEF_LEAST: f64 = 0.3;
-/// What at least stays let in after one step, how it grows back in one, and what always stays.
+/// What one cut leaves at least of a level, how it grows back in one step, and what is always left.
 const SHED_STEP: f64 = 0.6;
 const SHED_BACK: f64 = 2.0;
-const LEVEL_STEP: f64 = 0.05;
-const ADMIT_LEAST: f64 = 0.2;
+const ALWAYS_LEFT: f64 = 0.2;
 /// This share of what reports told of a server is kept each report period, and of what came.
 const FADE: f64 = 0.3;
 const KEEP: f64 = 0.9;
@@ -97,7 +95,6 @@
     }
 }
 
-/// All that is known of a server.
 #[derive(Default)]
 struct Known {
     listing: Listing,
@@ -109,7 +106,6 @@
     /// Its process started at the one time, and is warm by the other.
     started: Duration,
     warm_at: Duration,
-    /// Share of its weight that relief leaves it.
     relief: f64,
     /// Reports before this time tell of the server as it was before it started or came back.
     heed_from: Duration,
@@ -159,13 +155,11 @@
 
 struct Joined {
     zone: Zone,
-    /// By class.
     bound: Vec<bool>,
     /// When messages went to it of late.
     messages: VecDeque<Duration>,
 }
 
-/// A class and its table.
 #[derive(Default)]
 struct Table {
     contract: f64,
@@ -176,10 +170,11 @@
     /// What was published: weights, and what is let in.
     lines: BTreeMap<Server, f64>,
     admitted: Option<(f64, SecondTry)>,
-    /// Share of the class that should be let in.
-    level: f64,
-    /// Visits that came of late.
+    /// Visits that came of late, and the share that should be let in.
     demand: f64,
+    level: f64,
+    /// What it keeps of its part at servers that classes with less choice need.
+    kept: f64,
 }
 
 impl Table {
@@ -188,6 +183,10 @@
         zone && self.kinds.as_ref().is_none_or(|kinds| kinds.contains(&listing.kind))
     }
 
+    fn narrow(&self) -> bool {
+        self.zones.is_some() || self.kinds.is_some()
+    }
+
     fn held(&self, server: Server) -> f64 {
         self.lines.get(&server).copied().unwrap_or(0.0)
     }
@@ -208,13 +207,11 @@
     proxies: BTreeMap<Proxy, Joined>,
     /// All due times but that of the beat.
     due: BTreeSet<(Duration, Due)>,
-    /// Probes and notes that wait to be pulled.
     ready: VecDeque<Decision>,
-    /// Relief and levels rest until then, for reports to tell what they changed.
+    /// Levels rest until then, for reports to tell what they changed.
     next_step: Duration,
-    /// Started servers are not safe before this time. Proxies that are refused or fail elsewhere, that
-    /// still shun what they could not reach, or that come back all at once as levels rise, bring all
-    /// to a server that was just started, however small its weight.
+    /// Started servers are not safe before: proxies that fail elsewhere, still shun what they could not
+    /// reach, or come back as levels rise bring all to a started server, however small its weight.
     uneasy_until: Duration,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
@@ -238,6 +235,7 @@
                 zones: terms.positions(&name("only_zones"), "zones"),
                 kinds: terms.positions(&name("only_kinds"), "kinds"),
                 level: 1.0,
+                kept: 1.0,
                 ..Table::default()
             }
         };
@@ -309,15 +307,13 @@
         known.fresh = told.over(known.fresh, 1.0);
     }
 
-    /// Visits of a class came to a proxy.
     pub fn counted(&mut self, class: Class, visits: u32) {
         if let Some(table) = self.tables.get_mut(class) {
             table.demand += f64::from(visits);
         }
     }
 
-    /// A proxy's stream stands; it holds tables that are not this pilot's,
-    /// and if it is not `fresh`, it may still shun servers that failed it.
+    /// A proxy's stream stands. Its tables are of before; unless `fresh`, it may shun what failed it.
     pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, fresh: bool) {
         if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
             self.uneasy_until = now + self.warm_within().mul_f64(UNEASY);
@@ -383,7 +379,8 @@
 
     fn release(&mut self, class: Class, why: &str) {
         if !std::mem::replace(&mut self.tables[class].released, true) {
-            self.note(format!("{}: table released, {why}", self.class_name(class)));
+            let text = format!("{}: table released, {why}", self.class_name(class));
+            self.ready.push_back(Decision::Note { about: None, text });
         }
     }
 
@@ -411,6 +408,8 @@
         let Some(known) = self.servers.get_mut(&server) else { return };
         let Some(sent) = known.probe_sent.take() else { return };
         known.moved(by);
+        // Its time-out must not hit the next probe.
+        self.due.retain(|(_, due)| *due != Due::ProbeLost(server));
         let interval = match known.counter {
             Some(0) => PROBE_DOWN,
             Some(TOP) => PROBE_STEADY,
@@ -454,10 +453,11 @@
                 known.relief = (was + RELIEF_BACK).min(1.0);
             }
         }
-        if now >= self.next_step && self.shed() {
-            self.next_step = now + settle;
+        if now >= self.next_step {
+            self.shed();
         }
         let shedding = self.tables.iter().any(|table| table.level < 1.0);
+        self.next_step = if shedding && now >= self.next_step { now + settle } else { self.next_step };
         let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
         if shedding || !well || fresh.lateness(contract) > LATE {
             self.uneasy_until = self.uneasy_until.max(now + self.warm_within().mul_f64(UNEASY));
@@ -465,8 +465,8 @@
     }
 
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
-    /// and come back as their servers find time again. Whether any level moved.
-    fn shed(&mut self) -> bool {
+    /// and come back as their servers find time again.
+    fn shed(&mut self) {
         let late: Vec<f64> = (0..self.tables.len()).map(|class| self.lateness(class)).collect();
         let mut order: Vec<Class> = (0..self.tables.len()).collect();
         let rank = |class: &Class| self.tables[*class].earnings / self.tables[*class].contract;
@@ -476,20 +476,24 @@
         let suffering = order.iter().filter(|class| late[**class] > LATE).map(|class| &self.tables[*class]);
         let let_in: f64 = suffering.map(|table| work(table) * table.level).sum();
         let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
-        let mut any_moved = false;
+        // A class that may go elsewhere makes room where one that may not is late.
+        let narrow = (0..late.len()).filter(|class| self.tables[*class].narrow());
+        let pressed = narrow.fold(0.0, |worst: f64, class| worst.max(late[class]));
+        for (table, late) in self.tables.iter_mut().zip(&late) {
+            let back = if pressed < ROOM { RELIEF_BACK } else { 0.0 };
+            table.kept = if pressed > LATE.max(*late) { ALWAYS_LEFT } else { (table.kept + back).min(1.0) };
+        }
         for class in order {
             let table = &mut self.tables[class];
             let was = table.level;
             if late[class] > LATE {
-                let cut = out.min(work(table) * (was - ADMIT_LEAST).max(0.0));
+                let cut = out.min(work(table) * (was - ALWAYS_LEFT).max(0.0));
                 out -= cut;
                 table.level = was - cut / work(table);
             } else if late[class] < ROOM {
                 table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
             }
-            any_moved |= table.level != was;
         }
-        any_moved
     }
 
     /// How late the servers of a class are, by the part that each has in its table.
@@ -522,7 +526,8 @@
         let (server, withdrawn) = (*server, !known.withdrawn);
         // A server comes back at its cold share, never at the weight it left with.
         if !withdrawn {
-            let differs = |class: &Class| self.off(now, *class, server) != 0.0;
+            let differs =
+                |class: &Class| self.desired(now, *class)[&server] != self.tables[*class].held(server);
             if let Some(class) = (0..self.tables.len()).find(differs) {
                 return self.weigh(now, class, server, BINDING);
             }
@@ -568,8 +573,8 @@
 
     fn admit(&mut self, now: Duration) -> Option<Decision> {
         let wanted = |class: Class| {
-            let level = grid((self.tables[class].level / LEVEL_STEP).round() * LEVEL_STEP);
-            let room = level >= 1.0 && self.lateness(class) < LATE;
+            let level = grid(self.tables[class].level);
+            let room = level == 1.0 && self.lateness(class) < LATE;
             (level, if room { SecondTry::IfNeverRan } else { SecondTry::Never })
         };
         let differs = |class: &Class| Some(wanted(*class)) != self.tables[*class].admitted;
@@ -580,7 +585,7 @@
         if before.is_some_and(|(before, _)| before != share) {
             let (name, late) = (self.class_name(class), self.lateness(class));
             let text = format!("{name}: {:.0}% let in, answers take {late:.1} contract times", share * 100.0);
-            self.note(text);
+            self.ready.push_back(Decision::Note { about: None, text });
         }
         Some(Decision::Admit { class, share, second })
     }
@@ -629,7 +634,10 @@
         let safe = |known: &Known| now >= self.uneasy_until && known.counter.unwrap_or(TOP) == TOP;
         let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
         let carries = |known: &Known| !known.cold(now) || safe(known);
-        let full = |known: &Known| if carries(known) { grid(listed(known) * known.relief) } else { 0.0 };
+        let needed = |known: &Known| self.tables.iter().any(|t| t.narrow() && t.serves(&known.listing));
+        let kept = |known: &Known| if !table.narrow() && needed(known) { table.kept } else { 1.0 };
+        let part = |known: &Known| if carries(known) { known.relief * kept(known) } else { 0.0 };
+        let full = |known: &Known| grid(listed(known) * part(known));
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up(now) || known.counter.is_none() && now < HOLD_LEAST;
         let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
@@ -648,11 +656,6 @@
         self.servers.iter().map(|(server, known)| (*server, weight(server, known))).collect()
     }
 
-    /// How far a line should move, upwards above 0.
-    fn off(&self, now: Duration, class: Class, server: Server) -> f64 {
-        self.desired(now, class).get(&server).copied().unwrap_or(0.0) - self.tables[class].held(server)
-    }
-
     fn weigh(&mut self, now: Duration, class: Class, server: Server, part: f64) -> Option<Decision> {
         let weight = *self.desired(now, class).get(&server)?;
         self.spend(now, 1, self.on(Some(class)), part)?;
@@ -719,10 +722,6 @@
         sum / self.tables.iter().map(visits).sum::<f64>()
     }
 
-    fn note(&mut self, text: String) {
-        self.ready.push_back(Decision::Note { about: None, text });
-    }
-
     fn class_name(&self, class: Class) -> &str {
         self.terms.text(&format!("classes.{class}.name")).unwrap_or("a class without a name")
     }
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -119,17 +119,17 @@
     let trace = stage.report_to(22_000, &[(20, 0, 150); 3]).said(&["server", "admit", "#"]);
     expect![[r#"
         10.0 class 0: admit 1 Never
-        10.0 class 1: admit 0.5 Never
-        10.0 # book: 50% let in, answers take 0.7 contract times
-        12.0 class 0: admit 0.8 Never
+        10.0 class 1: admit 0.52 Never
+        10.0 # book: 52% let in, answers take 0.7 contract times
+        12.0 class 0: admit 0.824 Never
         12.0 class 1: admit 0.2 Never
-        12.0 # look: 80% let in, answers take 1.0 contract times
+        12.0 # look: 82% let in, answers take 1.0 contract times
         12.0 # book: 20% let in, answers take 1.0 contract times
-        14.0 class 0: admit 0.35 Never
-        14.0 # look: 35% let in, answers take 1.0 contract times
-        16.0 class 0: admit 0.65 Never
+        14.0 class 0: admit 0.334 Never
+        14.0 # look: 33% let in, answers take 1.0 contract times
+        16.0 class 0: admit 0.669 Never
         16.0 class 1: admit 0.4 Never
-        16.0 # look: 65% let in, answers take 0.2 contract times
+        16.0 # look: 67% let in, answers take 0.2 contract times
         16.0 # book: 40% let in, answers take 0.2 contract times
         18.0 class 0: admit 1 IfNeverRan
         18.0 class 1: admit 0.8 Never
@@ -228,3 +228,34 @@
     let trace = stage.list(&[ready(0), ready(0), state(1, Listed::Gone)]).run_to(8000).said(&[""]);
     expect![""].assert_eq(&trace);
 }
+
+/// Loss of a class with less choice: its servers jam while those that only others may use stand idle.
+#[test]
+fn class_with_more_choice_makes_room_for_one_with_less() {
+    let mut stage = Stage::narrow(4);
+    stage.join(0).report_to(8000, &[WELL; 4]).quiet();
+    stage.report_to(11_000, &[(20, 2, 900), WELL, (20, 2, 900), WELL]);
+    let trace = stage.report_to(14_000, &[WELL; 4]).said(&["class"]);
+    expect![[r#"
+        11.0 class 0: admit 0.841 Never
+        11.0 class 1: server 0 0.2
+        11.0 class 1: server 2 0.2
+        13.0 class 0: admit 1 IfNeverRan
+        13.0 class 1: server 0 0.24
+        13.0 class 1: server 2 0.24
+        14.0 class 1: server 0 0.28
+        14.0 class 1: server 2 0.28
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Loss of a well server: the time-out of an answered probe counted against the one after it.
+#[test]
+fn answered_probe_leaves_no_time_out_behind() {
+    let mut stage = Stage::new(2);
+    stage.answers_after = 90;
+    stage.join(0).run_to(6000).quiet().health[1] = Finding::Refused;
+    stage.run_to(6800).health[1] = Finding::Passed;
+    let trace = stage.run_to(14_000).said(&["class 0: server"]);
+    expect![[""]].assert_eq(&trace);
+}
--- a/tests/pilot/stage.rs
+++ b/tests/pilot/stage.rs
@@ -29,6 +29,8 @@
     /// Probes are left out of the trace unless wanted.
     pub print_probes: bool,
     pub trace: String,
+    /// How long a probe takes, in milliseconds.
+    pub answers_after: u64,
 }
 
 impl Stage {
@@ -36,6 +38,11 @@
         Stage::with(servers, &[])
     }
 
+    /// The first class may use the servers of the first zone only.
+    pub fn narrow(servers: usize) -> Self {
+        Stage::with(servers, &[("classes.0.only_zones.0", 0.0)])
+    }
+
     pub fn with(servers: usize, more: &[(&str, f64)]) -> Self {
         let mut terms = Terms::default();
         let mut put = |name: &str, term| terms.0.insert(name.to_string(), term);
@@ -61,16 +68,17 @@
             ("fleet.queue_most_lines", 10_000.0),
         ];
         for (name, value) in figures.iter().chain(more) {
-            put(name, Term::Number(*value));
+            let place = name.contains("only_zones").then(|| Term::Text("north".into()));
+            put(name, place.unwrap_or(Term::Number(*value)));
         }
         let mut pilot = Pilot::new(terms, 7);
         let listings: Vec<_> = (0..servers).map(ready).collect();
         pilot.listed(ms(0), true, &listings);
         let health = vec![Finding::Passed; servers];
-        Stage { pilot, now: ms(0), health, print_probes: false, trace: String::new() }
+        Stage { pilot, now: ms(0), health, print_probes: false, trace: String::new(), answers_after: 5 }
     }
 
-    /// Pulls decisions until there is none; every probe ends 5 ms later as its server's health says,
+    /// Pulls decisions until there is none; every probe ends a little later as its server's health says,
     /// a failed one by not ending at all.
     fn pull(&mut self) -> Vec<Server> {
         let mut probes = Vec::new();
@@ -103,7 +111,7 @@
         let end = ms(millis);
         let mut ends: Vec<(Duration, Server)> = Vec::new();
         loop {
-            let sent = self.now + ms(5);
+            let sent = self.now + ms(self.answers_after);
             ends.extend(self.pull().into_iter().map(|server| (sent, server)));
             let probe = ends.first().map_or(Duration::MAX, |(time, _)| *time);
             let next = self.pilot.next_due().min(probe);
@@ -114,7 +122,7 @@
             while ends.first().is_some_and(|(time, _)| *time <= next) {
                 let (_, server) = ends.remove(0);
                 if self.health[server] != Finding::Failed {
-                    self.pilot.probed(next, server, self.health[server], ms(5));
+                    self.pilot.probed(next, server, self.health[server], ms(self.answers_after));
                 }
             }
         }
