Let answered tries keep a server up through the counter alone

Cause: two defences did one job. Reports of answered tries raise the counter by rise steps a period, which outweighs failing probes while most tries are answered; the extra time-out on top only kept jammed servers in.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -101,8 +101,6 @@
     /// `None` until the first result.
     counter: Option<u32>,
     probe_sent: Option<Duration>,
-    /// Reports show that it answered tries; the next report is due by this time.
-    answers_until: Duration,
     /// Its process started at the one time, and is warm by the other.
     started: Duration,
     warm_at: Duration,
@@ -118,10 +116,8 @@
 }
 
 impl Known {
-    /// The counter decides, but a server that still answers proxies stays up whatever its probes say:
-    /// in a jam probes time out at one server after another, and each that goes loads the rest.
-    fn up(&self, now: Duration) -> bool {
-        self.counter.is_some_and(|counter| counter >= RISE || now < self.answers_until)
+    fn up(&self) -> bool {
+        self.counter.is_some_and(|counter| counter >= RISE)
     }
 
     /// So many results come in at once; the first one decides directly.
@@ -269,7 +265,7 @@
             // count as having passed one.
             if started || was != Listed::Ready && entry.state == Listed::Ready {
                 known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
-                (known.doubted_until, known.answers_until) = (Duration::ZERO, now);
+                known.doubted_until = Duration::ZERO;
                 (known.fresh, known.recent) = (Tally::default(), Tally::default());
                 known.heed_from = now + settle;
                 self.schedule(entry.server, soon);
@@ -287,22 +283,17 @@
         };
         // What comes after the wait was counted as lost then.
         if took <= PROBE_WAIT && known.probe_sent.is_some() {
-            known.answers_until = if finding == Finding::Refused { now } else { known.answers_until };
             self.probe_ended(now, server, by);
         }
     }
 
     /// What proxies met at a server: `took` is the mean time of the tries that were answered.
     pub fn reported(&mut self, now: Duration, server: Server, tries: u32, failed: u32, took: Duration) {
-        let period = self.period();
         let Some(known) = self.servers.get_mut(&server) else { return };
         if now < known.heed_from {
             return;
         }
         let (tries, failed) = (f64::from(tries), f64::from(failed.min(tries)));
-        if failed < tries {
-            known.answers_until = now + period;
-        }
         let told = Tally { tries, failed, answered: (tries - failed) * took.as_secs_f64() };
         known.fresh = told.over(known.fresh, 1.0);
     }
@@ -422,7 +413,7 @@
     /// Once a report period: what proxies met moves counters, relief and levels.
     fn review(&mut self, now: Duration) {
         let (contract, settle) = (self.contract(), self.settle());
-        let up = self.servers.values().filter(|known| known.up(now));
+        let up = self.servers.values().filter(|known| known.up());
         let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
         self.tables.iter_mut().for_each(|table| table.demand *= KEEP);
         let bearable = LATE.max(WORSE * fresh.lateness(contract));
@@ -432,11 +423,11 @@
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
             let others = (fresh.failed - seen.failed) / (fresh.tries - seen.tries).max(1.0);
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
-            if fails && known.up(now) && !known.barred(&self.terms) && others < SOUND {
+            if fails && known.up() && !known.barred(&self.terms) && others < SOUND {
                 known.moved(-(FALL as i32));
                 known.doubted_until = now + RESEND;
                 // It comes back, on passing probes, with a part that costs little if it still fails.
-                (known.answers_until, known.relief) = (now, RELIEF_LEAST);
+                known.relief = RELIEF_LEAST;
                 known.heed_from = known.doubted_until + settle;
                 let text = format!("fails {:.0} of {:.0} tries", seen.failed, seen.tries);
                 self.ready.push_back(Decision::Note { about: Some(*server), text });
@@ -639,7 +630,7 @@
         let part = |known: &Known| if carries(known) { known.relief * kept(known) } else { 0.0 };
         let full = |known: &Known| grid(listed(known) * part(known));
         // A table that had to be laid early counts on all that are not known to be down.
-        let up = |known: &Known| known.up(now) || known.counter.is_none() && now < HOLD_LEAST;
+        let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
         let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
         let good = || self.servers.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
         let any_up = good().any(|(_, known)| up(known));
