Count servers without idle cores as late before reports tell

It could hurt where a server runs well at full cores; what it is given then is cut by three tenths a step.

--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -71,6 +71,13 @@
         self.time(what).map(Some)
     }
 
+    /// The share of cores in use out of a load report, where it has one.
+    pub fn load(&mut self, what: &str) -> Read<Option<f64>> {
+        let pairs = self.word(what)?.split(',');
+        let busy = pairs.filter_map(|pair| pair.strip_prefix("busy:")).next();
+        busy.map(|load| load.parse().map_err(|_| format!("{what} is malformed: {load:?}"))).transpose()
+    }
+
     pub fn end(&self) -> Read<()> {
         match self.rest {
             Some(rest) => Err(format!("too many parts, from {rest:?}")),
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -205,15 +205,16 @@
             }
             "HEALTH_RESULT" => {
                 let server = instance.servers.index(line.word("server")?);
-                let finding = match line.word("verdict")? {
-                    "done" => Finding::Passed,
+                let verdict = line.word("verdict")?;
+                let wait = line.time("time")?;
+                let load = line.load("load report")?;
+                let finding = match verdict {
+                    "done" => Finding::Passed(load),
                     "err" | "etimedout" => Finding::Failed,
                     "econnrefused" | "econnreset" => Finding::Refused,
                     "busy" | "ecanceled" | "skipped" => Finding::TurnedAway,
                     other => return Err(format!("unknown verdict {other:?}")),
                 };
-                let wait = line.time("time")?;
-                line.word("load report")?;
                 instance.guard(|pilot| pilot.probed(now, server, finding, wait));
             }
             "ENROLLED" => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,10 +39,10 @@
 }
 
 /// How one probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Finding {
-    /// Answered.
-    Passed,
+    /// Answered, with the share of its cores in use if the server tells.
+    Passed(Option<f64>),
     /// Answered with an error, or not in time: the server may still be working.
     Failed,
     /// Nothing listens there, or the connection broke.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,8 @@
 /// Mean time over contract time from which servers count as late, and below which there is room.
 const LATE: f64 = 0.5;
 const ROOM: f64 = 0.35;
+/// Share of a server's cores in use from which its answers will be late, before reports tell.
+const BUSY: f64 = 0.95;
 /// A server is late on its own only if it is so much worse than the fleet.
 const WORSE: f64 = 1.6;
 /// One step of relief takes at most this much, one step back gives so much.
@@ -112,10 +114,16 @@
     /// What reports told since the last review, and of late.
     fresh: Tally,
     recent: Tally,
+    /// Share of its cores in use, as it told the last probe.
+    load: f64,
     withdrawn: bool,
 }
 
 impl Known {
+    fn late(&self, contract: f64) -> f64 {
+        self.recent.lateness(contract).max(if self.load > BUSY { WORSE * LATE } else { 0.0 })
+    }
+
     fn up(&self) -> bool {
         self.counter.is_some_and(|counter| counter >= RISE)
     }
@@ -152,7 +160,6 @@
 struct Joined {
     zone: Zone,
     bound: Vec<bool>,
-    /// When messages went to it of late.
     messages: VecDeque<Duration>,
 }
 
@@ -277,7 +284,10 @@
     pub fn probed(&mut self, now: Duration, server: Server, finding: Finding, took: Duration) {
         let Some(known) = self.servers.get_mut(&server) else { return };
         let by = match finding {
-            Finding::Passed => i32::from(now >= known.doubted_until),
+            Finding::Passed(load) => {
+                known.load = load.unwrap_or(0.0);
+                i32::from(now >= known.doubted_until)
+            }
             Finding::TurnedAway => 0,
             Finding::Failed | Finding::Refused => -1,
         };
@@ -435,7 +445,7 @@
                 known.moved(RISE as i32);
             }
             // Relief: a slow server keeps a part that it can do, and regains the rest bit by bit.
-            let (late, was) = (known.recent.lateness(contract), known.relief);
+            let (late, was) = (known.late(contract), known.relief);
             if known.recent.tries < f64::from(FALL) {
                 continue;
             } else if late > bearable {
@@ -493,7 +503,7 @@
         for (server, weight) in &self.tables[class].lines {
             let known = &self.servers[server];
             if known.recent.tries >= 1.0 && !known.withdrawn {
-                sum += weight * known.recent.lateness(self.contract());
+                sum += weight * known.late(self.contract());
                 all += weight;
             }
         }
