Let the hold give way to the grace where the list had changed before the start

It cannot name them, and a proxy that was just restarted holds them in its standing table past the grace. Where the first list is not the first version, tables are laid after three tenths of the grace; unknown servers count as up in them. It shortens the hold of every pilot that is born into a changed list.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,8 @@
 const HOLD_LEAST: Duration = Duration::from_secs(5);
 const HOLD_MOST: Duration = Duration::from_secs(10);
 
+/// The part of the grace after which a hold gives way to it.
+const GIVE_WAY: f64 = 0.3;
 /// Probes are spread by this share of their interval, so that they don't march in step.
 const JITTER: f64 = 0.1;
 /// A line is not worth its cost while it is off by less than this share; the resend takes all.
@@ -70,7 +72,6 @@
 /// The channel is taken to send this many times slower than stated: on bad days it does.
 const SLOWEST: f64 = 8.0;
 
-/// Tries that proxies made, summed up.
 #[derive(Clone, Copy, Default)]
 struct Tally {
     tries: f64,
@@ -114,7 +115,6 @@
     /// What reports told since the last review, and of late.
     fresh: Tally,
     recent: Tally,
-    /// Share of its cores in use, as it told the last probe.
     load: f64,
     withdrawn: bool,
 }
@@ -206,6 +206,7 @@
     terms: Terms,
     chance: Chance,
     tables: Vec<Table>,
+    outdated: bool,
     servers: BTreeMap<Server, Known>,
     proxies: BTreeMap<Proxy, Joined>,
     /// All due times but that of the beat.
@@ -248,8 +249,9 @@
 
     // What became known.
 
-    /// The list of servers changed; `full` says that it is complete.
-    pub fn listed(&mut self, now: Duration, full: bool, entries: &[Listing]) {
+    /// The list of servers is at this version; `full` says that the entries are all of it.
+    pub fn listed(&mut self, now: Duration, full: bool, version: u64, entries: &[Listing]) {
+        self.outdated |= self.servers.is_empty() && version > 0;
         let missing = |server: &Server| !entries.iter().any(|entry| entry.server == *server);
         for (_, known) in self.servers.iter_mut().filter(|(server, _)| full && missing(server)) {
             known.listing.state = Listed::Gone;
@@ -280,7 +282,6 @@
         }
     }
 
-    /// A probe ended after `took`.
     pub fn probed(&mut self, now: Duration, server: Server, finding: Finding, took: Duration) {
         let Some(known) = self.servers.get_mut(&server) else { return };
         let by = match finding {
@@ -334,7 +335,6 @@
 
     // What is decided.
 
-    /// When the host should come back, if nothing becomes known before.
     pub fn next_due(&self) -> Duration {
         self.due.first().map_or(self.next_beat, |(time, _)| self.next_beat.min(*time))
     }
@@ -363,11 +363,15 @@
             self.next_review = now + self.period();
             self.review(now);
         }
+        // A list that changed before this start has lost servers that proxies may still hold, and that
+        // cannot be named: the hold gives way, so that all are on these tables within the grace.
+        let grace = self.terms.time("rules.drain_grace_us").unwrap_or(HOLD_MOST);
+        let most = if self.outdated { HOLD_MOST.min(grace.mul_f64(GIVE_WAY)) } else { HOLD_MOST };
         for class in 0..self.tables.len() {
             let mut servers = self.servers.values().filter(|known| self.tables[class].serves(&known.listing));
-            if now >= HOLD_LEAST && servers.all(|known| known.counter.is_some()) {
+            if now >= HOLD_LEAST.min(most) && servers.all(|known| known.counter.is_some()) {
                 self.release(class, "all its servers have a result");
-            } else if now >= HOLD_MOST {
+            } else if now >= most {
                 self.release(class, "the hold is over");
             }
         }
@@ -385,7 +389,6 @@
         }
     }
 
-    /// Sets the time of a server's next probe, in place of the one it had.
     fn schedule(&mut self, server: Server, time: Duration) {
         self.due.retain(|(_, due)| *due != Due::Probe(server));
         if self.terms.flag("allowed.probes") {
@@ -665,7 +668,6 @@
         Some(Decision::Weigh { class, server, weight })
     }
 
-    /// The proxies on the table of a class, or all that are joined.
     fn on(&self, class: Option<Class>) -> Vec<Proxy> {
         let on = |joined: &Joined| class.is_none_or(|class| joined.bound[class]);
         self.proxies.iter().filter(|(_, joined)| on(joined)).map(|(proxy, _)| *proxy).collect()
@@ -680,7 +682,6 @@
         let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
         let sent = (now - self.queued.1).as_secs_f64() * pace;
         self.queued = ((self.queued.0 - sent).max(0.0), now);
-        // All that goes to a proxy at one time is one message.
         let new = |joined: &Joined| joined.messages.back() != Some(&now);
         let mut cost = (lines * whom.len()) as f64;
         for proxy in &whom {
@@ -711,7 +712,6 @@
         self.terms.time("rules.warm_within_us").unwrap_or_default()
     }
 
-    /// How long it takes until reports tell of a change.
     fn settle(&self) -> Duration {
         self.period().mul_f64(SETTLE) + self.terms.time("fleet.message_delay_us").unwrap_or_default()
     }
--- a/tests/pilot/design.rs
+++ b/tests/pilot/design.rs
@@ -122,3 +122,18 @@
     assert!(pair[0].trace.lines().count() > 8);
     assert_eq!(pair[0].trace, pair[1].trace);
 }
+
+/// Rule on drains: a server removed before this start cannot be named, but proxies may hold it.
+#[test]
+fn hold_gives_way_to_the_grace_when_the_list_had_changed_before() {
+    let mut stage = Stage::with(0, &[("rules.drain_grace_us", 2e6)]);
+    stage.pilot.listed(ms(0), true, 3, &[ready(0)]);
+    stage.health = vec![Finding::Passed(None)];
+    let trace = stage.join(0).run_to(2000).said(&["class 0"]);
+    expect![[r#"
+        0.6 class 0: admit 1 IfNeverRan
+        0.6 class 0: server 0 1
+        0.6 class 0: bind proxy 0
+    "#]]
+    .assert_eq(&trace);
+}
