--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,8 +44,8 @@
 const FAILING: f64 = 0.85;
 const SOUND: f64 = 0.2;
 /// Mean time over contract time from which servers count as late, and below which there is room.
-const LATE: f64 = 0.5;
-const ROOM: f64 = 0.35;
+const LATE: f64 = 0.4;
+const ROOM: f64 = 0.28;
 /// Share of a server's cores in use from which its answers will be late, before reports tell.
 const BUSY: f64 = 0.95;
 /// A server is late on its own only if it is so much worse than the fleet.
