Compute the mean contract time once a table; keep a failure's tag apart from its text

No change of behaviour: the lateness of a class asked for the fleet's mean contract time at every line, and the host told a failure from a note by the beginning of one string.

--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -21,8 +21,9 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     classes: Vec<String>,
-    /// Set where this host has nothing to offer: said once, then the instance stays idle.
-    idle: Option<String>,
+    /// Set where the instance has failed, or this host has nothing to offer: a line with this tag says
+    /// so once, then the instance stays idle.
+    idle: Option<(&'static str, String)>,
 }
 
 #[derive(Default)]
@@ -312,8 +313,8 @@
         let classes = (0..terms.count("classes")).map_while(|i| terms.text(&format!("classes.{i}.name")));
         let classes = classes.map(String::from).collect();
         let slices = terms.number("fleet.slices").unwrap_or(0.0) > 0.0;
-        let idle = slices
-            .then(|| "the keys are in slices, for which lockcroft lays no tables yet: idle".to_string());
+        let idle = "the keys are in slices, for which lockcroft lays no tables yet: idle";
+        let idle = slices.then(|| ("NOTE_DOWN", idle.to_string()));
         Ok(Instance {
             zones: texts("zones"),
             kinds: texts("kinds"),
@@ -352,7 +353,7 @@
         if let Err(panic) = &result {
             let text = panic.downcast_ref::<String>().map(String::as_str);
             let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("no reason given");
-            self.idle = Some(format!("FATAL {}", text.replace('\n', " ")));
+            self.idle = Some(("FATAL", text.replace('\n', " ")));
         }
         result.ok()
     }
@@ -365,11 +366,10 @@
                 _ => break,
             }
         }
-        if let Some(text) = self.idle.as_mut().map(std::mem::take) {
-            match text.strip_prefix("FATAL ") {
-                Some(reason) => line(reply, format_args!("FATAL {number} {reason}")),
-                None if !text.is_empty() => line(reply, format_args!("NOTE_DOWN {number} {text}")),
-                None => {}
+        if let Some((tag, text)) = &mut self.idle {
+            if !text.is_empty() {
+                line(reply, format_args!("{tag} {number} {text}"));
+                text.clear();
             }
             return;
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -502,11 +502,11 @@
 
     /// How late the servers of a class are, by the part that each has in its table.
     fn lateness(&self, class: Class) -> f64 {
-        let (mut sum, mut all) = (0.0, 0.0);
+        let (contract, mut sum, mut all) = (self.contract(), 0.0, 0.0);
         for (server, weight) in &self.tables[class].lines {
             let known = &self.servers[server];
             if known.recent.tries >= 1.0 && !known.withdrawn {
-                sum += weight * known.late(self.contract());
+                sum += weight * known.late(contract);
                 all += weight;
             }
         }
