Plan once a beat and drain the plan; keep sums of reports and messages in a ledger

Now what is wanted and its ranking are computed once a beat or at news that can't wait, and the plan is drained from the top; sums of tries and messages stand in src/ledger.rs, where nothing is decided. Where only draining binds, a list that calls servers gone takes nothing from them (before, a drained server that then vanished from the list was let back in).

It hurts by up to 0.2 s where an order that did not fit waits for the next plan.

--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -385,21 +385,22 @@
         let name = |server: usize| &self.servers.names[server];
         match decision {
             Decision::Probe(server) => line(reply, format_args!("POLL {number} {}", name(server))),
-            Decision::Weigh { class, server, weight } => {
-                line(reply, format_args!("SET_LINE {number} {weight} {class} {}", name(server)))
+            Decision::Weigh { table, server, weight } => {
+                line(reply, format_args!("SET_LINE {number} {weight} {table} {}", name(server)))
             }
-            Decision::Bind { class, proxy } => {
-                line(reply, format_args!("HAND_TABLE {number} {proxy} {class} {}", 1u64 << class))
+            Decision::Bind { table, classes, proxy } => {
+                let bits = classes.iter().fold(0u64, |bits, class| bits | 1 << class);
+                line(reply, format_args!("HAND_TABLE {number} {proxy} {table} {bits}"))
             }
             Decision::Withdraw { server, withdrawn } => {
                 line(reply, format_args!("BENCH {number} {} {}", u8::from(withdrawn), name(server)))
             }
-            Decision::Admit { class, share, second } => {
+            Decision::Admit { table, class, share, second } => {
                 let second = match second {
                     SecondTry::Never => 0,
                     SecondTry::IfNeverRan => 1,
                 };
-                line(reply, format_args!("GATE_CLASS {number} {class} {} {share} {second}", 1u64 << class))
+                line(reply, format_args!("GATE_CLASS {number} {table} {} {share} {second}", 1u64 << class))
             }
             Decision::Note { about: Some(server), text } => {
                 line(reply, format_args!("NOTE_DOWN {number} {} {text}", name(server)))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! and at what weight. All decisions are in [`logic`]; this crate knows no wire and no clock.
 
 mod chance;
+mod ledger;
 pub mod logic;
 mod terms;
 
@@ -16,6 +17,8 @@
 pub type Zone = usize;
 pub type Kind = usize;
 pub type Class = usize;
+/// A table that proxies share; the pilot numbers its own.
+pub type TableNumber = usize;
 
 /// What the list of servers says of one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -65,14 +68,14 @@
 pub enum Decision {
     /// Look at a server and tell [`Pilot::probed`].
     Probe(Server),
-    /// Give a server this weight in the table of a class; 0 takes it out.
-    Weigh { class: Class, server: Server, weight: f64 },
-    /// Put a proxy on the table of a class.
-    Bind { class: Class, proxy: Proxy },
+    /// Give a server this weight in a table; 0 takes it out.
+    Weigh { table: TableNumber, server: Server, weight: f64 },
+    /// Put a proxy on a table, for these classes.
+    Bind { table: TableNumber, classes: Vec<Class>, proxy: Proxy },
     /// Keep every joined proxy from a server, whatever tables it holds, or end that.
     Withdraw { server: Server, withdrawn: bool },
-    /// Let in this share of a class's visits, and say when proxies try a second time.
-    Admit { class: Class, share: f64, second: SecondTry },
+    /// Let in this share of a class's visits at a table, and say when proxies try a second time.
+    Admit { table: TableNumber, class: Class, share: f64, second: SecondTry },
     /// Tell the people on call, of one server or in general.
     Note { about: Option<Server>, text: String },
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,7 +19,8 @@
 use std::time::Duration;
 
 use crate::chance::Chance;
-use crate::{Class, Decision, Finding, Kind, Listed, Listing, Proxy, SecondTry, Server, Terms, Zone};
+use crate::ledger::{Channel, Tally, Whom};
+use crate::{Class, Decision, Finding, Listed, Listing, Proxy, SecondTry, Server, TableNumber, Terms, Zone};
 
 // The design's figures, from its page.
 const RISE: u32 = 2;
@@ -72,37 +73,12 @@
 /// The channel is taken to send this many times slower than stated: on bad days it does.
 const SLOWEST: f64 = 8.0;
 
-#[derive(Clone, Copy, Default)]
-struct Tally {
-    tries: f64,
-    failed: f64,
-    /// Seconds spent on tries that were answered.
-    answered: f64,
-}
-
-impl Tally {
-    /// This, and `keep` of what was before.
-    fn over(self, before: Tally, keep: f64) -> Tally {
-        let sum = |new: f64, old: f64| new + old * keep;
-        let answered = sum(self.answered, before.answered);
-        Tally { tries: sum(self.tries, before.tries), failed: sum(self.failed, before.failed), answered }
-    }
-
-    fn failing(&self) -> f64 {
-        if self.tries > 0.0 { self.failed / self.tries } else { 0.0 }
-    }
-
-    /// Mean time in units of the contract time, a failure counting as one that was just missed.
-    fn lateness(&self, contract: f64) -> f64 {
-        if self.tries > 0.0 { (self.answered / contract + self.failed) / self.tries } else { 0.0 }
-    }
-}
-
 #[derive(Default)]
 struct Known {
     listing: Listing,
     /// `None` until the first result.
     counter: Option<u32>,
+    probe_at: Duration,
     probe_sent: Option<Duration>,
     /// Its process started at the one time, and is warm by the other.
     started: Duration,
@@ -137,12 +113,8 @@
         };
     }
 
-    fn barred(&self, terms: &Terms) -> bool {
-        match self.listing.state {
-            Listed::Ready => false,
-            Listed::Draining => true,
-            Listed::Gone => !terms.flag("rules.only_draining_binds"),
-        }
+    fn barred(&self) -> bool {
+        self.listing.state != Listed::Ready
     }
 
     fn cold(&self, now: Duration) -> bool {
@@ -157,37 +129,44 @@
     }
 }
 
-struct Joined {
-    zone: Zone,
-    bound: Vec<bool>,
-    messages: VecDeque<Duration>,
+/// What is let in of one class, at one table.
+struct Gate {
+    class: Class,
+    table: TableNumber,
+    name: String,
+    contract: f64,
+    earnings: f64,
+    /// Visits that came of late, and the share that should be let in.
+    demand: f64,
+    level: f64,
+    /// As it was published.
+    admitted: Option<(f64, SecondTry)>,
 }
 
 #[derive(Default)]
 struct Table {
-    contract: f64,
-    earnings: f64,
-    zones: Option<Vec<Zone>>,
-    kinds: Option<Vec<Kind>>,
+    /// Zones and kinds that its classes are bound to.
+    only: [Option<Vec<usize>>; 2],
+    /// Of its classes.
+    names: String,
     released: bool,
-    /// What was published: weights, and what is let in.
+    /// Weights as they should be by the last plan, and as they were published.
+    wanted: BTreeMap<Server, f64>,
     lines: BTreeMap<Server, f64>,
-    admitted: Option<(f64, SecondTry)>,
-    /// Visits that came of late, and the share that should be let in.
-    demand: f64,
-    level: f64,
+    /// How late its servers are, by their part in it.
+    late: f64,
     /// What it keeps of its part at servers that classes with less choice need.
     kept: f64,
 }
 
 impl Table {
     fn serves(&self, listing: &Listing) -> bool {
-        let zone = self.zones.as_ref().is_none_or(|zones| zones.contains(&listing.zone));
-        zone && self.kinds.as_ref().is_none_or(|kinds| kinds.contains(&listing.kind))
+        let place = [listing.zone, listing.kind];
+        self.only.iter().zip(place).all(|(only, at)| only.as_ref().is_none_or(|only| only.contains(&at)))
     }
 
     fn narrow(&self) -> bool {
-        self.zones.is_some() || self.kinds.is_some()
+        self.only != [None, None]
     }
 
     fn held(&self, server: Server) -> f64 {
@@ -195,10 +174,15 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Probe(Server),
-    ProbeLost(Server),
+/// One order of a plan, sent if the budget allows it.
+#[derive(Clone, Copy)]
+enum Step {
+    Withdraw(Server, bool),
+    /// The last is the part of the limits that it may fill.
+    Weigh(TableNumber, Server, f64),
+    /// The first is the gate.
+    Admit(usize, f64, SecondTry),
+    Bind(TableNumber, Proxy),
 }
 
 #[derive(Default)]
@@ -206,12 +190,19 @@
     terms: Terms,
     chance: Chance,
     tables: Vec<Table>,
+    /// The least earnings per contract time first.
+    gates: Vec<Gate>,
     outdated: bool,
     servers: BTreeMap<Server, Known>,
-    proxies: BTreeMap<Proxy, Joined>,
-    /// All due times but that of the beat.
-    due: BTreeSet<(Duration, Due)>,
+    /// Zones of the joined proxies.
+    proxies: BTreeMap<Proxy, Zone>,
+    channel: Channel,
+    /// Times at which a probe is due or lost; those that others took the place of are passed over.
+    due: BTreeSet<(Duration, Server)>,
     ready: VecDeque<Decision>,
+    /// The last plan, as far as it is still to be sent, and whether there is news that asks for another.
+    steps: VecDeque<Step>,
+    news: bool,
     /// Levels rest until then, for reports to tell what they changed.
     next_step: Duration,
     /// Started servers are not safe before: proxies that fail elsewhere, still shun what they could not
@@ -222,29 +213,33 @@
     next_review: Duration,
     next_resend: Duration,
     next_push: Duration,
-    /// Common changes may go out at this time: all that differs, or what is worth its line.
-    pushing: Option<(Duration, bool)>,
-    /// Lines that wait in the channel, as far as that is known, at a time.
-    queued: (f64, Duration),
+    /// The next plan takes common changes in: all that differs, or what is worth its line.
+    pushing: Option<bool>,
 }
 
 impl Pilot {
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let table = |class: Class| {
+        let (mut tables, mut gates): (Vec<Table>, Vec<Gate>) = Default::default();
+        for class in 0..terms.count("classes") {
             let name = |what: &str| format!("classes.{class}.{what}");
+            let text = terms.text(&name("name")).unwrap_or("a class without a name").to_string();
             let contract = terms.time(&name("contract_time_us")).filter(|time| !time.is_zero());
-            Table {
+            gates.push(Gate {
+                class,
+                table: tables.len(),
+                name: text.clone(),
                 contract: contract.unwrap_or(PROBE_STEADY).as_secs_f64(),
                 earnings: terms.number(&name("earnings")).unwrap_or(1.0),
-                zones: terms.positions(&name("only_zones"), "zones"),
-                kinds: terms.positions(&name("only_kinds"), "kinds"),
+                demand: 0.0,
                 level: 1.0,
-                kept: 1.0,
-                ..Table::default()
-            }
-        };
-        let tables = (0..terms.count("classes")).map(table).collect();
-        Pilot { chance: Chance::new(seed), tables, next_resend: RESEND, terms, ..Pilot::default() }
+                admitted: None,
+            });
+            let only = ["zones", "kinds"].map(|all| terms.positions(&name(&format!("only_{all}")), all));
+            tables.push(Table { only, names: text, kept: 1.0, ..Table::default() });
+        }
+        let rank = |gate: &Gate| gate.earnings / gate.contract;
+        gates.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
+        Pilot { chance: Chance::new(seed), tables, gates, next_resend: RESEND, terms, ..Pilot::default() }
     }
 
     // What became known.
@@ -252,17 +247,23 @@
     /// The list of servers is at this version; `full` says that the entries are all of it.
     pub fn listed(&mut self, now: Duration, full: bool, version: u64, entries: &[Listing]) {
         self.outdated |= self.servers.is_empty() && version > 0;
-        let missing = |server: &Server| !entries.iter().any(|entry| entry.server == *server);
-        for (_, known) in self.servers.iter_mut().filter(|(server, _)| full && missing(server)) {
+        self.news = true;
+        // Where only draining binds, a list that calls servers gone takes nothing from them.
+        let binds = !self.terms.flag("rules.only_draining_binds");
+        let here: BTreeSet<Server> = entries.iter().map(|entry| entry.server).collect();
+        let gone = |server: &Server| full && binds && !here.contains(server);
+        for (_, known) in self.servers.iter_mut().filter(|(server, _)| gone(server)) {
             known.listing.state = Listed::Gone;
         }
-        let (within, settle) = (self.warm_within(), self.settle());
+        let (within, settle, probes) = (self.warm_within(), self.settle(), self.terms.flag("allowed.probes"));
         for entry in entries {
-            let soon = now + self.jitter(GATHER, 1.0);
-            let gone = Listing { state: Listed::Gone, ..*entry };
-            let new = Known { listing: gone, relief: 1.0, ..Known::default() };
-            let known = self.servers.entry(entry.server).or_insert(new);
-            let was = std::mem::replace(&mut known.listing, *entry).state;
+            if entry.state == Listed::Gone && !binds {
+                continue;
+            }
+            let new = || Known { relief: 1.0, probe_at: Duration::MAX, ..Known::default() };
+            let known = self.servers.entry(entry.server).or_insert_with(new);
+            let fresh = known.probe_at == Duration::MAX || known.barred();
+            known.listing = *entry;
             let age = entry.age.unwrap_or(within);
             let warm_at = (now + within).saturating_sub(age);
             // Repeated or older news of a start changes nothing.
@@ -272,12 +273,13 @@
             }
             // A new process knows nothing of the old one's health. Where probes are not allowed, all
             // count as having passed one.
-            if started || was != Listed::Ready && entry.state == Listed::Ready {
-                known.counter = (!self.terms.flag("allowed.probes")).then_some(TOP);
+            if started || fresh && !known.barred() {
+                known.counter = (!probes).then_some(TOP);
                 known.doubted_until = Duration::ZERO;
                 (known.fresh, known.recent) = (Tally::default(), Tally::default());
                 known.heed_from = now + settle;
-                self.schedule(entry.server, soon);
+                known.probe_at = now + GATHER.mul_f64(1.0 - self.chance.draw());
+                self.due.extend(probes.then_some((known.probe_at, entry.server)));
             }
         }
     }
@@ -293,7 +295,7 @@
             Finding::Failed | Finding::Refused => -1,
         };
         // What comes after the wait was counted as lost then.
-        if took <= PROBE_WAIT && known.probe_sent.is_some() {
+        if took <= PROBE_WAIT {
             self.probe_ended(now, server, by);
         }
     }
@@ -301,17 +303,14 @@
     /// What proxies met at a server: `took` is the mean time of the tries that were answered.
     pub fn reported(&mut self, now: Duration, server: Server, tries: u32, failed: u32, took: Duration) {
         let Some(known) = self.servers.get_mut(&server) else { return };
-        if now < known.heed_from {
-            return;
+        if now >= known.heed_from {
+            known.fresh = Tally::new(tries, failed, took).over(known.fresh, 1.0);
         }
-        let (tries, failed) = (f64::from(tries), f64::from(failed.min(tries)));
-        let told = Tally { tries, failed, answered: (tries - failed) * took.as_secs_f64() };
-        known.fresh = told.over(known.fresh, 1.0);
     }
 
     pub fn counted(&mut self, class: Class, visits: u32) {
-        if let Some(table) = self.tables.get_mut(class) {
-            table.demand += f64::from(visits);
+        for gate in self.gates.iter_mut().filter(|gate| gate.class == class) {
+            gate.demand += f64::from(visits);
         }
     }
 
@@ -320,17 +319,19 @@
         if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
             self.uneasy_until = now + self.warm_within().mul_f64(UNEASY);
         }
-        let bound = vec![false; self.tables.len()];
-        self.proxies.insert(proxy, Joined { zone, bound, messages: VecDeque::new() });
+        self.news = true;
+        self.proxies.insert(proxy, zone);
+        self.channel.join(proxy);
         // Withdrawals that went out before have not reached it.
-        let kept_out: Vec<bool> = self.servers.values().map(|known| self.kept_out(now, known)).collect();
-        for (known, kept_out) in self.servers.values_mut().zip(kept_out) {
-            known.withdrawn &= !kept_out;
+        let kept_out = self.kept_out(now);
+        for (server, known) in &mut self.servers {
+            known.withdrawn &= !kept_out.contains(server);
         }
     }
 
     pub fn left(&mut self, proxy: Proxy) {
         self.proxies.remove(&proxy);
+        self.channel.leave(proxy);
     }
 
     // What is decided.
@@ -341,70 +342,44 @@
 
     pub fn next_decision(&mut self, now: Duration) -> Option<Decision> {
         self.pass_time(now);
-        self.withdrawal(now)
-            .or_else(|| self.change(now))
-            .or_else(|| self.binding(now))
-            .or_else(|| self.ready.pop_front())
+        if std::mem::take(&mut self.news) {
+            self.plan(now);
+        }
+        while let Some(step) = self.steps.pop_front() {
+            let taken = self.take(now, step);
+            if taken.is_some() {
+                return taken;
+            }
+            // Sent from the top: what ranks lower waits as well, but for proxies still without a table.
+            self.steps.retain(|step| matches!(step, Step::Bind(..)));
+        }
+        self.ready.pop_front()
     }
 
     fn pass_time(&mut self, now: Duration) {
-        while let Some((time, due)) = self.due.first().copied().filter(|(time, _)| *time <= now) {
-            self.due.remove(&(time, due));
-            match due {
-                Due::Probe(server) => self.probe(now, server),
-                Due::ProbeLost(server) => self.probe_ended(now, server, -1),
+        while let Some((time, server)) = self.due.first().copied().filter(|(time, _)| *time <= now) {
+            self.due.remove(&(time, server));
+            let Some(known) = self.servers.get_mut(&server) else { continue };
+            if known.probe_sent.is_some_and(|sent| sent + PROBE_WAIT == time) {
+                self.probe_ended(now, server, -1);
+            } else if known.probe_sent.is_none() && known.probe_at == time && !known.barred() {
+                known.probe_sent = Some(now);
+                self.ready.push_back(Decision::Probe(server));
+                self.due.insert((now + PROBE_WAIT, server));
             }
         }
         if now < self.next_beat {
             return;
         }
         self.next_beat = now + GATHER;
+        self.news = true;
         if now >= self.next_review {
             self.next_review = now + self.period();
             self.review(now);
         }
-        // A list that changed before this start has lost servers that proxies may still hold, and that
-        // cannot be named: the hold gives way, so that all are on these tables within the grace.
-        let grace = self.terms.time("rules.drain_grace_us").unwrap_or(HOLD_MOST);
-        let most = if self.outdated { HOLD_MOST.min(grace.mul_f64(GIVE_WAY)) } else { HOLD_MOST };
-        for class in 0..self.tables.len() {
-            let mut servers = self.servers.values().filter(|known| self.tables[class].serves(&known.listing));
-            if now >= HOLD_LEAST.min(most) && servers.all(|known| known.counter.is_some()) {
-                self.release(class, "all its servers have a result");
-            } else if now >= most {
-                self.release(class, "the hold is over");
-            }
-        }
-        if now >= self.next_push {
-            let all = now >= self.next_resend;
-            self.next_resend = if all { now + RESEND } else { self.next_resend };
-            self.pushing = Some((now, all));
-        }
-    }
-
-    fn release(&mut self, class: Class, why: &str) {
-        if !std::mem::replace(&mut self.tables[class].released, true) {
-            let text = format!("{}: table released, {why}", self.class_name(class));
-            self.ready.push_back(Decision::Note { about: None, text });
-        }
-    }
-
-    fn schedule(&mut self, server: Server, time: Duration) {
-        self.due.retain(|(_, due)| *due != Due::Probe(server));
-        if self.terms.flag("allowed.probes") {
-            self.due.insert((time, Due::Probe(server)));
-        }
-    }
-
-    fn probe(&mut self, now: Duration, server: Server) {
-        let Some(known) = self.servers.get_mut(&server) else { return };
-        if known.barred(&self.terms) {
-            self.schedule(server, now + PROBE_DOWN);
-        } else if known.probe_sent.is_none() {
-            known.probe_sent = Some(now);
-            self.ready.push_back(Decision::Probe(server));
-            self.due.insert((now + PROBE_WAIT, Due::ProbeLost(server)));
-        }
+        let all = now >= self.next_resend;
+        self.pushing = (now >= self.next_push).then_some(all);
+        self.next_resend = if self.pushing == Some(true) { now + RESEND } else { self.next_resend };
     }
 
     /// The result of the probe that is out, if one is, moves the counter and sets the next probe.
@@ -412,15 +387,13 @@
         let Some(known) = self.servers.get_mut(&server) else { return };
         let Some(sent) = known.probe_sent.take() else { return };
         known.moved(by);
-        // Its time-out must not hit the next probe.
-        self.due.retain(|(_, due)| *due != Due::ProbeLost(server));
         let interval = match known.counter {
             Some(0) => PROBE_DOWN,
             Some(TOP) => PROBE_STEADY,
             _ => PROBE_BETWEEN,
         };
-        let next = now.max(sent + self.jitter(interval, JITTER));
-        self.schedule(server, next);
+        known.probe_at = now.max(sent + interval.mul_f64(1.0 - JITTER * self.chance.draw()));
+        self.due.insert((known.probe_at, server));
     }
 
     /// Once a report period: what proxies met moves counters, relief and levels.
@@ -428,7 +401,7 @@
         let (contract, settle) = (self.contract(), self.settle());
         let up = self.servers.values().filter(|known| known.up());
         let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
-        self.tables.iter_mut().for_each(|table| table.demand *= KEEP);
+        self.gates.iter_mut().for_each(|gate| gate.demand *= KEEP);
         let bearable = LATE.max(WORSE * fresh.lateness(contract));
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
@@ -436,7 +409,7 @@
             // Evidence, against the rest of the fleet: a general slump condemns nobody.
             let others = (fresh.failed - seen.failed) / (fresh.tries - seen.tries).max(1.0);
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
-            if fails && known.up() && !known.barred(&self.terms) && others < SOUND {
+            if fails && known.up() && !known.barred() && others < SOUND {
                 known.moved(-(FALL as i32));
                 known.doubted_until = now + RESEND;
                 // It comes back, on passing probes, with a part that costs little if it still fails.
@@ -460,7 +433,7 @@
         if now >= self.next_step {
             self.shed();
         }
-        let shedding = self.tables.iter().any(|table| table.level < 1.0);
+        let shedding = self.gates.iter().any(|gate| gate.level < 1.0);
         self.next_step = if shedding && now >= self.next_step { now + settle } else { self.next_step };
         let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
         if shedding || !well || fresh.lateness(contract) > LATE {
@@ -471,169 +444,220 @@
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
     /// and come back as their servers find time again.
     fn shed(&mut self) {
-        let late: Vec<f64> = (0..self.tables.len()).map(|class| self.lateness(class)).collect();
-        let mut order: Vec<Class> = (0..self.tables.len()).collect();
-        let rank = |class: &Class| self.tables[*class].earnings / self.tables[*class].contract;
-        order.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
-        let worst = late.iter().fold(LATE, |worst, late| worst.max(*late));
-        let work = |table: &Table| table.contract * table.demand.max(1e-9);
-        let suffering = order.iter().filter(|class| late[**class] > LATE).map(|class| &self.tables[*class]);
-        let let_in: f64 = suffering.map(|table| work(table) * table.level).sum();
+        self.measure();
+        let suffering = self.gates.iter().filter(|gate| self.tables[gate.table].late > LATE);
+        let work = |gate: &Gate| gate.contract * gate.demand.max(1e-9);
+        let let_in: f64 = suffering.map(|gate| work(gate) * gate.level).sum();
+        let worst = self.tables.iter().fold(LATE, |worst, table| worst.max(table.late));
         let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
         // A class that may go elsewhere makes room where one that may not is late.
-        let narrow = (0..late.len()).filter(|class| self.tables[*class].narrow());
-        let pressed = narrow.fold(0.0, |worst: f64, class| worst.max(late[class]));
-        for (table, late) in self.tables.iter_mut().zip(&late) {
+        let narrow = self.tables.iter().filter(|table| table.narrow());
+        let pressed = narrow.fold(0.0, |worst: f64, table| worst.max(table.late));
+        for table in &mut self.tables {
             let back = if pressed < ROOM { RELIEF_BACK } else { 0.0 };
-            table.kept = if pressed > LATE.max(*late) { ALWAYS_LEFT } else { (table.kept + back).min(1.0) };
+            let press = pressed > LATE.max(table.late);
+            table.kept = if press { ALWAYS_LEFT } else { (table.kept + back).min(1.0) };
         }
-        for class in order {
-            let table = &mut self.tables[class];
-            let was = table.level;
-            if late[class] > LATE {
-                let cut = out.min(work(table) * (was - ALWAYS_LEFT).max(0.0));
+        for gate in &mut self.gates {
+            let (late, was, work) = (self.tables[gate.table].late, gate.level, work(gate));
+            if late > LATE {
+                let cut = out.min(work * (was - ALWAYS_LEFT).max(0.0));
                 out -= cut;
-                table.level = was - cut / work(table);
-            } else if late[class] < ROOM {
-                table.level = (was * (LATE / late[class]).min(SHED_BACK)).min(1.0);
+                gate.level = was - cut / work;
+            } else if late < ROOM {
+                gate.level = (was * (LATE / late.max(1e-9)).min(SHED_BACK)).min(1.0);
             }
         }
     }
 
-    /// How late the servers of a class are, by the part that each has in its table.
-    fn lateness(&self, class: Class) -> f64 {
-        let (contract, mut sum, mut all) = (self.contract(), 0.0, 0.0);
-        for (server, weight) in &self.tables[class].lines {
-            let known = &self.servers[server];
-            if known.recent.tries >= 1.0 && !known.withdrawn {
-                sum += weight * known.late(contract);
-                all += weight;
+    /// How late the servers of each table are, by the part that each has in it.
+    fn measure(&mut self) {
+        let contract = self.contract();
+        for table in &mut self.tables {
+            let known = |(server, weight): (&Server, &f64)| (&self.servers[server], *weight);
+            let told = |known: &Known| known.recent.tries >= 1.0 && !known.withdrawn;
+            let lines = || table.lines.iter().map(known).filter(|(known, _)| told(known));
+            let sum: f64 = lines().map(|(known, weight)| weight * known.late(contract)).sum();
+            table.late = sum / lines().map(|(_, weight)| weight).sum::<f64>().max(1e-9);
+        }
+    }
+
+    /// Works out all that should be sent, the most urgent first: once a beat and at news that can't
+    /// wait, so that the work of a decision does not grow with the fleet.
+    fn plan(&mut self, now: Duration) {
+        self.release(now);
+        for index in 0..self.tables.len() {
+            self.tables[index].wanted = self.desired(now, index);
+        }
+        let (pushing, mut steps) = (self.pushing.take(), self.withdrawals(now));
+        if pushing.is_some() {
+            self.measure();
+            for (index, gate) in self.gates.iter().enumerate() {
+                let (table, level) = (&self.tables[gate.table], grid(gate.level));
+                let room = level == 1.0 && table.late < LATE;
+                let second = if room { SecondTry::IfNeverRan } else { SecondTry::Never };
+                if table.released && gate.admitted != Some((level, second)) {
+                    steps.push(Step::Admit(index, level, second));
+                }
             }
         }
-        if all > 0.0 { sum / all } else { 0.0 }
+        steps.extend(self.changes(now, pushing));
+        for proxy in self.proxies.keys() {
+            let free = |table: &usize| self.tables[*table].released && !self.channel.bound(*proxy, *table);
+            steps.extend((0..self.tables.len()).filter(free).map(|table| Step::Bind(table, *proxy)));
+        }
+        self.steps = steps.into();
     }
 
-    /// Whether proxies must not send to a server, whatever tables they hold. While some hold tables
-    /// of before, a cold server would get all of its weight there: the hold keeps it out.
-    fn kept_out(&self, now: Duration, known: &Known) -> bool {
-        known.barred(&self.terms) || known.cold(now) && self.tables.iter().any(|table| !table.released)
+    /// The start hold, for each table.
+    fn release(&mut self, now: Duration) {
+        // A list that changed before this start has lost servers that proxies may still hold, and that
+        // cannot be named: the hold gives way, so that all are on these tables within the grace.
+        let grace = self.terms.time("rules.drain_grace_us").unwrap_or(HOLD_MOST);
+        let most = if self.outdated { HOLD_MOST.min(grace.mul_f64(GIVE_WAY)) } else { HOLD_MOST };
+        for index in 0..self.tables.len() {
+            let table = &self.tables[index];
+            let mut serving = self.servers.values().filter(|known| table.serves(&known.listing));
+            let why = match () {
+                _ if table.released => continue,
+                _ if now >= HOLD_LEAST.min(most) && serving.all(|known| known.counter.is_some()) => {
+                    "all its servers have a result"
+                }
+                _ if now >= most => "the hold is over",
+                _ if self.runs_out(now, table) => "standing tables may hold nothing but withdrawn servers",
+                _ => continue,
+            };
+            let text = format!("{}: table released, {why}", table.names);
+            self.ready.push_back(Decision::Note { about: None, text });
+            (self.tables[index].released, self.pushing) = (true, Some(true));
+        }
+    }
+
+    /// Servers that proxies must not send to, whatever tables they hold. While some hold tables of
+    /// before, a cold server would get all of its weight there: the hold keeps it out.
+    fn kept_out(&self, now: Duration) -> BTreeSet<Server> {
+        let holding = self.tables.iter().any(|table| !table.released);
+        let out = |known: &Known| known.barred() || holding && known.cold(now);
+        self.servers.iter().filter(|(_, known)| out(known)).map(|(server, _)| *server).collect()
     }
 
     /// Drains and removals first, hold or not: no proxy may send there past the grace.
-    fn withdrawal(&mut self, now: Duration) -> Option<Decision> {
-        let unbound = self.proxies.values().any(|joined| joined.bound.contains(&false));
-        let (server, known) = self.servers.iter().find(|(_, known)| match self.kept_out(now, known) {
-            true => !known.withdrawn,
-            // It would still be in the tables that an unbound proxy holds.
-            false => known.withdrawn && !unbound,
-        })?;
-        let (server, withdrawn) = (*server, !known.withdrawn);
-        // A server comes back at its cold share, never at the weight it left with.
-        if !withdrawn {
-            let differs =
-                |class: &Class| self.desired(now, *class)[&server] != self.tables[*class].held(server);
-            if let Some(class) = (0..self.tables.len()).find(differs) {
-                return self.weigh(now, class, server, BINDING);
+    fn withdrawals(&self, now: Duration) -> Vec<Step> {
+        let all_on = |table| self.channel.count(Whom::On(table)) == self.proxies.len();
+        let unbound = !(0..self.tables.len()).all(all_on);
+        let (kept_out, mut steps) = (self.kept_out(now), Vec::new());
+        for (server, known) in &self.servers {
+            let out = kept_out.contains(server);
+            // One that returns would still be in the tables that an unbound proxy holds.
+            if out == known.withdrawn || !out && unbound {
+                continue;
+            }
+            // A server comes back at its cold share, never at the weight it left with.
+            let (tables, before) = (self.tables.iter().enumerate(), steps.len());
+            let differs = tables.filter(|(_, table)| !out && table.wanted[server] != table.held(*server));
+            steps.extend(differs.map(|(index, _)| Step::Weigh(index, *server, BINDING)));
+            if steps.len() == before {
+                steps.push(Step::Withdraw(*server, out));
             }
         }
-        self.spend(now, 1, self.on(None), DRAINING)?;
-        self.servers.get_mut(&server)?.withdrawn = withdrawn;
-        Some(Decision::Withdraw { server, withdrawn })
+        steps
     }
 
     /// Changed lines, ranked by the traffic that each moves. A server that was started anew loses its
     /// weight without waiting for the next push: the grace runs.
-    fn change(&mut self, now: Duration) -> Option<Decision> {
-        let pushing = self.pushing.is_some_and(|(time, _)| time == now);
-        let all = self.pushing == Some((now, true));
-        if let Some(decision) = pushing.then(|| self.admit(now)).flatten() {
-            return Some(decision);
-        }
-        let mut best: Option<(bool, f64, Class, Server)> = None;
-        for (class, table) in self.tables.iter().enumerate().filter(|(_, table)| table.released) {
-            let desired = self.desired(now, class);
-            let total: f64 = desired.values().sum();
-            for (server, weight) in desired {
-                let held = table.held(server);
+    fn changes(&mut self, now: Duration, pushing: Option<bool>) -> Vec<Step> {
+        let mut ranked: Vec<(bool, f64, Step)> = Vec::new();
+        for (index, table) in self.tables.iter().enumerate().filter(|(_, table)| table.released) {
+            let total: f64 = table.wanted.values().sum();
+            let gates = self.gates.iter().filter(|gate| gate.table == index);
+            let demand: f64 = gates.map(|gate| gate.demand).sum();
+            for (server, weight) in &table.wanted {
+                let (held, known) = (table.held(*server), &self.servers[server]);
                 let off = (weight - held).abs();
-                let small = off <= TOLERANCE * weight.max(held) && held > 0.0 && weight > 0.0;
-                let urgent = self.servers[&server].cold(now) && weight < held && !small;
-                let due = urgent || pushing && off > 0.0 && (!small || all);
-                let rank = (urgent, off / total.max(1e-9) * (1.0 + table.demand));
-                if due && !self.servers[&server].withdrawn && best.is_none_or(|(u, m, ..)| rank > (u, m)) {
-                    best = Some((urgent, rank.1, class, server));
+                let small = off <= TOLERANCE * weight.max(held) && held > 0.0 && *weight > 0.0;
+                let urgent = known.cold(now) && *weight < held && !small;
+                let due = urgent || pushing.is_some() && off > 0.0 && (!small || pushing == Some(true));
+                if due && !known.withdrawn && !known.barred() {
+                    let part = if urgent { DRAINING } else { COMMON };
+                    let moves = off / total.max(1e-9) * (1.0 + demand);
+                    ranked.push((urgent, moves, Step::Weigh(index, *server, part)));
                 }
             }
         }
-        let (urgent, _, class, server) = best?;
-        if !urgent {
+        if ranked.iter().any(|(urgent, ..)| !urgent) {
             // So far apart, common changes leave room within the limit on messages.
             let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
             let most = self.terms.limit("fleet.messages_most");
             self.next_push = now + GATHER.max(span.div_f64(most * COMMON));
         }
-        self.weigh(now, class, server, if urgent { DRAINING } else { COMMON })
+        ranked.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        ranked.into_iter().map(|(.., step)| step).collect()
     }
 
-    fn admit(&mut self, now: Duration) -> Option<Decision> {
-        let wanted = |class: Class| {
-            let level = grid(self.tables[class].level);
-            let room = level == 1.0 && self.lateness(class) < LATE;
-            (level, if room { SecondTry::IfNeverRan } else { SecondTry::Never })
-        };
-        let differs = |class: &Class| Some(wanted(*class)) != self.tables[*class].admitted;
-        let class = (0..self.tables.len()).filter(|class| self.tables[*class].released).find(differs)?;
-        let (share, second) = wanted(class);
-        self.spend(now, 1, self.on(Some(class)), COMMON)?;
-        let before = self.tables[class].admitted.replace((share, second));
-        if before.is_some_and(|(before, _)| before != share) {
-            let (name, late) = (self.class_name(class), self.lateness(class));
-            let text = format!("{name}: {:.0}% let in, answers take {late:.1} contract times", share * 100.0);
-            self.ready.push_back(Decision::Note { about: None, text });
-        }
-        Some(Decision::Admit { class, share, second })
-    }
-
-    /// A proxy comes onto the tables once the hold releases them, or sooner if its own run out.
-    fn binding(&mut self, now: Duration) -> Option<Decision> {
-        for proxy in self.proxies.keys().copied().collect::<Vec<_>>() {
-            for class in 0..self.tables.len() {
-                if self.proxies[&proxy].bound[class] {
-                    continue;
-                }
-                if !self.tables[class].released && self.runs_out(class, self.proxies[&proxy].zone) {
-                    self.release(class, "standing tables may hold nothing but withdrawn servers");
-                    self.pushing = Some((now, true));
-                    return self.next_decision(now);
+    /// Sends one step, if the budget allows it.
+    fn take(&mut self, now: Duration, step: Step) -> Option<Decision> {
+        match step {
+            Step::Withdraw(server, withdrawn) => {
+                self.spend(now, 1, Whom::All, DRAINING)?;
+                self.servers.get_mut(&server)?.withdrawn = withdrawn;
+                Some(Decision::Withdraw { server, withdrawn })
+            }
+            Step::Weigh(index, server, part) => {
+                self.spend(now, 1, Whom::On(index), part)?;
+                let table = &mut self.tables[index];
+                let weight = table.wanted[&server];
+                table.lines.insert(server, weight);
+                if weight == 0.0 {
+                    table.lines.remove(&server);
                 }
-                if !self.tables[class].released || self.tables[class].lines.is_empty() {
-                    continue;
+                Some(Decision::Weigh { table: index, server, weight })
+            }
+            Step::Admit(index, share, second) => {
+                let (table, class) = (self.gates[index].table, self.gates[index].class);
+                self.spend(now, 1, Whom::On(table), COMMON)?;
+                let (gate, late) = (&mut self.gates[index], self.tables[table].late);
+                if gate.admitted.replace((share, second)).is_some_and(|(before, _)| before != share) {
+                    let part = share * 100.0;
+                    let text =
+                        format!("{}: {part:.0}% let in, answers take {late:.1} contract times", gate.name);
+                    self.ready.push_back(Decision::Note { about: None, text });
                 }
+                Some(Decision::Admit { table, class, share, second })
+            }
+            Step::Bind(index, proxy) => {
+                let table = &self.tables[index];
+                let gates = self.gates.iter().filter(|gate| gate.table == index);
+                let classes: Vec<Class> = gates.map(|gate| gate.class).collect();
                 let withdrawn = self.servers.values().filter(|known| known.withdrawn).count();
-                let lines = 2 + self.tables[class].lines.len() + withdrawn;
-                if self.spend(now, lines, vec![proxy], BINDING).is_some() {
-                    self.proxies.get_mut(&proxy)?.bound[class] = true;
-                    return Some(Decision::Bind { class, proxy });
+                let lines = 1 + classes.len() + table.lines.len() + withdrawn;
+                if table.lines.is_empty() {
+                    return None;
                 }
+                self.spend(now, lines, Whom::One(proxy), BINDING)?;
+                self.channel.bind(proxy, index);
+                Some(Decision::Bind { table: index, classes, proxy })
             }
         }
-        None
     }
 
-    /// Whether a standing table, drawn in this zone, may hold nothing but withdrawn servers.
-    fn runs_out(&self, class: Class, zone: Zone) -> bool {
-        let serving = self.servers.values().filter(|known| self.tables[class].serves(&known.listing));
-        let (near, far): (Vec<_>, Vec<_>) = serving.partition(|known| known.listing.zone == zone);
-        // A table is drawn in its zone if that has three servers.
-        let pool = if near.len() >= 3 { near } else { [near, far].concat() };
-        let withdrawn = pool.iter().filter(|known| known.withdrawn).count();
+    /// Whether standing tables, drawn in the zones of proxies, may hold nothing but withdrawn servers.
+    fn runs_out(&self, now: Duration, table: &Table) -> bool {
+        let (kept_out, zones) = (self.kept_out(now), self.proxies.values().copied());
         let standing = self.terms.number("fleet.standing").unwrap_or(0.0) as usize;
-        withdrawn > 0 && withdrawn >= pool.len().min(standing)
-    }
-
-    /// The weights that the table of a class should hold: a pure function of list and numbers.
-    fn desired(&self, now: Duration, class: Class) -> BTreeMap<Server, f64> {
-        let table = &self.tables[class];
+        zones.collect::<BTreeSet<_>>().into_iter().any(|zone| {
+            let serving = self.servers.iter().filter(|(_, known)| table.serves(&known.listing));
+            let near = |known: &Known| known.listing.zone == zone;
+            let nearby = serving.clone().filter(|(_, known)| near(known)).count();
+            // A table is drawn in its zone if that has three servers.
+            let pool = serving.filter(|(_, known)| nearby < 3 || near(known)).map(|(server, _)| server);
+            let withdrawn = pool.clone().filter(|server| kept_out.contains(server)).count();
+            withdrawn > 0 && withdrawn >= pool.count().min(standing)
+        })
+    }
+
+    /// The weights that a table should hold: a pure function of list and numbers.
+    fn desired(&self, now: Duration, index: TableNumber) -> BTreeMap<Server, f64> {
+        let table = &self.tables[index];
         // A cold server gets nothing while the fleet is uneasy or a probe of its own fails.
         let safe = |known: &Known| now >= self.uneasy_until && known.counter.unwrap_or(TOP) == TOP;
         let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
@@ -644,11 +668,11 @@
         let full = |known: &Known| grid(listed(known) * part(known));
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
-        let usable = |known: &Known| table.serves(&known.listing) && !known.barred(&self.terms);
+        let usable = |known: &Known| table.serves(&known.listing) && !known.barred();
         let good = || self.servers.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
         let any_up = good().any(|(_, known)| up(known));
-        let laid = self.proxies.values().any(|joined| joined.bound[class]);
-        let any_held = laid && good().any(|(server, _)| table.held(*server) > 0.0);
+        let any_held =
+            self.channel.count(Whom::On(index)) > 0 && good().any(|(server, _)| table.held(*server) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
             (true, _) if up(known) => full(known),
@@ -660,52 +684,26 @@
         self.servers.iter().map(|(server, known)| (*server, weight(server, known))).collect()
     }
 
-    fn weigh(&mut self, now: Duration, class: Class, server: Server, part: f64) -> Option<Decision> {
-        let weight = *self.desired(now, class).get(&server)?;
-        self.spend(now, 1, self.on(Some(class)), part)?;
-        self.tables[class].lines.insert(server, weight);
-        self.tables[class].lines.retain(|_, weight| *weight > 0.0);
-        Some(Decision::Weigh { class, server, weight })
-    }
-
-    fn on(&self, class: Option<Class>) -> Vec<Proxy> {
-        let on = |joined: &Joined| class.is_none_or(|class| joined.bound[class]);
-        self.proxies.iter().filter(|(_, joined)| on(joined)).map(|(proxy, _)| *proxy).collect()
-    }
-
     /// Pace: takes lines off the budget for each of these proxies; none if the queue or a proxy's
     /// messages would then fill more than this part of the limits.
-    fn spend(&mut self, now: Duration, lines: usize, whom: Vec<Proxy>, part: f64) -> Option<()> {
+    fn spend(&mut self, now: Duration, lines: usize, whom: Whom, part: f64) -> Option<()> {
         let head = self.terms.number("fleet.message_head_lines").unwrap_or(0.0);
         let most = self.terms.limit("fleet.messages_most") * part;
         let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
         let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
-        let sent = (now - self.queued.1).as_secs_f64() * pace;
-        self.queued = ((self.queued.0 - sent).max(0.0), now);
-        let new = |joined: &Joined| joined.messages.back() != Some(&now);
-        let mut cost = (lines * whom.len()) as f64;
-        for proxy in &whom {
-            let joined = self.proxies.get_mut(proxy)?;
-            joined.messages.retain(|time| *time + span >= now);
-            cost += if new(joined) { head } else { 0.0 };
-            if new(joined) && joined.messages.len() as f64 >= most {
-                return None;
-            }
-        }
-        if self.queued.0 + cost > self.terms.limit("fleet.queue_most_lines") * part {
+        let waiting = self.channel.waiting(now, pace);
+        let (begun, had) = self.channel.begins(whom, span);
+        let cost = (lines * self.channel.count(whom)) as f64 + begun as f64 * head;
+        let full = waiting + cost > self.terms.limit("fleet.queue_most_lines") * part;
+        if full || begun > 0 && had as f64 >= most {
             return None;
         }
-        self.queued.0 += cost;
-        for (_, joined) in
-            self.proxies.iter_mut().filter(|(proxy, joined)| whom.contains(proxy) && new(joined))
-        {
-            joined.messages.push_back(now);
-        }
+        self.channel.send(whom, cost);
         Some(())
     }
 
     fn period(&self) -> Duration {
-        self.terms.time("fleet.report_period_us").filter(|time| !time.is_zero()).unwrap_or(PROBE_STEADY)
+        self.terms.time("fleet.report_period_us").unwrap_or(PROBE_STEADY).max(GATHER)
     }
 
     fn warm_within(&self) -> Duration {
@@ -718,17 +716,9 @@
 
     /// The mean contract time of what comes, in seconds.
     fn contract(&self) -> f64 {
-        let visits = |table: &Table| table.demand + 1e-3;
-        let sum: f64 = self.tables.iter().map(|table| visits(table) * table.contract).sum();
-        sum / self.tables.iter().map(visits).sum::<f64>()
-    }
-
-    fn class_name(&self, class: Class) -> &str {
-        self.terms.text(&format!("classes.{class}.name")).unwrap_or("a class without a name")
-    }
-
-    fn jitter(&mut self, interval: Duration, share: f64) -> Duration {
-        interval.mul_f64(1.0 - share * self.chance.draw())
+        let visits = |gate: &Gate| gate.demand + 1e-3;
+        let sum: f64 = self.gates.iter().map(|gate| visits(gate) * gate.contract).sum();
+        sum / self.gates.iter().map(visits).sum::<f64>()
     }
 }
 
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -40,7 +40,7 @@
     let trace = stage.report_to(18_000, &jam).said(&["class 0: server 1", "withdraw"]);
     expect![[r#"
         12.0 class 0: server 1 0
-        12.0 withdraw 1 false
+        12.2 withdraw 1 false
     "#]]
     .assert_eq(&trace);
 }
@@ -55,7 +55,7 @@
     expect![[r#"
         1.0 withdraw 1 true
         5.0 class 0: bind proxy 0
-        5.0 withdraw 1 false
+        5.2 withdraw 1 false
     "#]]
     .assert_eq(&trace);
 }
@@ -118,17 +118,17 @@
     stage.report_to(13_000, &[(20, 18, 1400); 3]);
     let trace = stage.report_to(22_000, &[(20, 0, 150); 3]).said(&["server", "admit"]);
     expect![[r#"
-        10.0 class 0: admit 1 Never
         10.0 class 1: admit 0.4 Never
-        12.0 class 0: admit 0.68 Never
+        10.0 class 0: admit 1 Never
         12.0 class 1: admit 0.2 Never
+        12.0 class 0: admit 0.68 Never
         14.0 class 0: admit 0.248 Never
-        16.0 class 0: admit 0.496 Never
         16.0 class 1: admit 0.4 Never
-        18.0 class 0: admit 0.992 Never
+        16.0 class 0: admit 0.496 Never
         18.0 class 1: admit 0.8 Never
-        20.0 class 0: admit 1 IfNeverRan
+        18.0 class 0: admit 0.992 Never
         20.0 class 1: admit 1 IfNeverRan
+        20.0 class 0: admit 1 IfNeverRan
     "#]]
     .assert_eq(&trace);
 }
@@ -180,7 +180,7 @@
         6.0 class 0: bind proxy 3
         6.0 class 1: bind proxy 3
         6.0 class 0: bind proxy 4
-        6.7 withdraw 3 true
+        6.8 withdraw 3 true
         9.2 class 1: bind proxy 4
         10.2 class 0: bind proxy 5
         11.0 class 1: bind proxy 5
--- a/tests/pilot/stage.rs
+++ b/tests/pilot/stage.rs
@@ -86,12 +86,12 @@
             let at = self.now.as_secs_f64();
             let text = match &decision {
                 Decision::Probe(server) => format!("probe {server}"),
-                Decision::Weigh { class, server, weight } => {
-                    format!("class {class}: server {server} {weight}")
+                Decision::Weigh { table, server, weight } => {
+                    format!("class {table}: server {server} {weight}")
                 }
-                Decision::Bind { class, proxy } => format!("class {class}: bind proxy {proxy}"),
+                Decision::Bind { table, proxy, .. } => format!("class {table}: bind proxy {proxy}"),
                 Decision::Withdraw { server, withdrawn } => format!("withdraw {server} {withdrawn}"),
-                Decision::Admit { class, share, second } => {
+                Decision::Admit { class, share, second, .. } => {
                     format!("class {class}: admit {share} {second:?}")
                 }
                 Decision::Note { about: Some(server), text } => format!("# {server} {text}"),
