Cut a fleet that does not fit one table into parts, each run like a small fleet

Where laying one table at all proxies takes over a fifth of the queue, servers are dealt to parts (by zone if no class is tied to one), proxies go to the part of their zone with most room, and a part that is lost or cold looks to those beside it. Small fleets keep one table.

Known and published state moved to src/ledger.rs, without decisions. Hurts where a zone's traffic outgrows its servers by more than rates tell.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,9 +1,9 @@
-//! What proxies met and what was sent to them, added up. Nothing is decided here.
+//! What is known, published and sent, and its sums. Nothing is decided here.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::{Proxy, TableNumber};
+use crate::{Class, Listed, Listing, Proxy, Server, TableNumber, Terms, Zone};
 
 /// Tries that ended, and how.
 #[derive(Clone, Copy, Default)]
@@ -45,17 +45,122 @@
     One(Proxy),
 }
 
+/// What is known of a server.
 #[derive(Default)]
-struct Written {
-    tables: Vec<TableNumber>,
-    messages: VecDeque<Duration>,
+pub struct Known {
+    pub listing: Listing,
+    pub part: usize,
+    /// `None` until the first result.
+    pub counter: Option<u32>,
+    pub probe_at: Duration,
+    pub probe_sent: Option<Duration>,
+    /// Its process started at the one time, and is warm by the other.
+    pub started: Duration,
+    pub warm_at: Duration,
+    pub relief: f64,
+    /// Reports before this time tell of the server as it was before it started or came back.
+    pub heed_from: Duration,
+    /// Condemned by reports: passing probes don't count before this time.
+    pub doubted_until: Duration,
+    /// What reports told since the last review, and of late.
+    pub fresh: Tally,
+    pub recent: Tally,
+    pub load: f64,
+    pub withdrawn: bool,
+}
+
+impl Known {
+    pub fn barred(&self) -> bool {
+        self.listing.state != Listed::Ready
+    }
+
+    pub fn cold(&self, now: Duration) -> bool {
+        now < self.warm_at
+    }
+}
+
+/// A table that proxies share.
+#[derive(Default)]
+pub struct Table {
+    pub part: usize,
+    /// Zones and kinds that its classes are bound to.
+    pub only: [Option<Vec<usize>>; 2],
+    pub released: bool,
+    /// Weights as they should be by the last plan, and as they were published.
+    pub wanted: BTreeMap<Server, f64>,
+    pub lines: BTreeMap<Server, f64>,
+    /// How late its servers are, by their part in it.
+    pub late: f64,
+    /// What it keeps of its part at servers that classes with less choice need.
+    pub kept: f64,
+}
+
+impl Table {
+    pub fn allows(&self, listing: &Listing) -> bool {
+        let place = [listing.zone, listing.kind];
+        self.only.iter().zip(place).all(|(only, at)| only.as_ref().is_none_or(|only| only.contains(&at)))
+    }
+
+    pub fn narrow(&self) -> bool {
+        self.only != [None, None]
+    }
+
+    pub fn wants(&self, server: Server) -> f64 {
+        self.wanted.get(&server).copied().unwrap_or(0.0)
+    }
+
+    pub fn held(&self, server: Server) -> f64 {
+        self.lines.get(&server).copied().unwrap_or(0.0)
+    }
+}
+
+/// What is let in of one class, at one table.
+pub struct Gate {
+    pub class: Class,
+    pub table: TableNumber,
+    pub name: String,
+    pub contract: f64,
+    pub earnings: f64,
+    /// Visits that came of late, and the share that should be let in.
+    pub demand: f64,
+    pub level: f64,
+    /// As it was published.
+    pub admitted: Option<f64>,
+}
+
+impl Gate {
+    pub fn read(terms: &Terms, class: Class, table: TableNumber) -> Self {
+        let name = |what: &str| format!("classes.{class}.{what}");
+        Gate {
+            class,
+            table,
+            name: terms.text(&name("name")).unwrap_or("a class without a name").to_string(),
+            contract: terms.time(&name("contract_time_us")).unwrap_or_default().as_secs_f64().max(1e-3),
+            earnings: terms.number(&name("earnings")).unwrap_or(1.0),
+            demand: 0.0,
+            level: 1.0,
+            admitted: None,
+        }
+    }
+}
+
+/// A proxy whose stream stands.
+#[derive(Default)]
+pub struct Joined {
+    pub zone: Zone,
+    /// Visits a second that it usually has.
+    pub rate: f64,
+    pub fresh: bool,
+    pub part: Option<usize>,
+    pub tables: Vec<TableNumber>,
+    pub messages: VecDeque<Duration>,
 }
 
 /// Joined proxies, the tables they are on, and the messages that went to them. What goes out at one
 /// time travels together, as one message to each.
 #[derive(Default)]
 pub struct Channel {
-    proxies: BTreeMap<Proxy, Written>,
+    pub proxies: BTreeMap<Proxy, Joined>,
     on: BTreeMap<TableNumber, usize>,
     /// Lines that wait, as far as that is known, at a time.
     waiting: f64,
@@ -65,34 +170,52 @@
 }
 
 impl Channel {
-    pub fn join(&mut self, proxy: Proxy) {
+    pub fn join(&mut self, proxy: Proxy, joined: Joined) {
         self.leave(proxy);
-        self.proxies.insert(proxy, Written::default());
+        self.proxies.insert(proxy, joined);
     }
 
     pub fn leave(&mut self, proxy: Proxy) {
-        let tables = self.proxies.remove(&proxy).map(|written| written.tables).unwrap_or_default();
+        let tables = self.proxies.remove(&proxy).map(|joined| joined.tables).unwrap_or_default();
         for table in tables {
             *self.on.entry(table).or_default() -= 1;
         }
     }
 
     pub fn bind(&mut self, proxy: Proxy, table: TableNumber) {
-        if let Some(written) = self.proxies.get_mut(&proxy) {
-            written.tables.push(table);
+        if let Some(joined) = self.proxies.get_mut(&proxy) {
+            joined.tables.push(table);
             *self.on.entry(table).or_default() += 1;
         }
     }
 
-    pub fn bound(&self, proxy: Proxy, table: TableNumber) -> bool {
-        self.proxies.get(&proxy).is_some_and(|written| written.tables.contains(&table))
+    /// Visits a second that the proxies of each part usually have.
+    pub fn carried(&self, parts: usize) -> Vec<f64> {
+        let mut carried = vec![0.0; parts];
+        for joined in self.proxies.values() {
+            if let Some(part) = joined.part {
+                carried[part] += joined.rate;
+            }
+        }
+        carried
+    }
+
+    pub fn mean_rate(&self) -> f64 {
+        let rates: f64 = self.proxies.values().map(|joined| joined.rate).sum();
+        rates / self.proxies.len().max(1) as f64
+    }
+
+    /// Proxies on fewer tables than this, those with most visits first.
+    pub fn unbound(&mut self, tables: usize) -> Vec<(Proxy, &mut Joined)> {
+        let proxies = self.proxies.iter_mut().map(|(proxy, joined)| (*proxy, joined));
+        let mut unbound: Vec<_> = proxies.filter(|(_, joined)| joined.tables.len() < tables).collect();
+        unbound.sort_by(|(_, a), (_, b)| b.rate.total_cmp(&a.rate));
+        unbound
     }
 
     pub fn count(&self, whom: Whom) -> usize {
         match whom {
-            Whom::Unbound(most) => {
-                self.proxies.values().filter(|written| written.tables.len() < most).count()
-            }
+            Whom::Unbound(most) => self.proxies.values().filter(|joined| joined.tables.len() < most).count(),
             Whom::On(table) => self.on.get(&table).copied().unwrap_or(0),
             Whom::One(_) => 1,
         }
@@ -115,10 +238,10 @@
         if self.begun.contains(&whom) {
             return (0, 0);
         }
-        let new = reached(&mut self.proxies, whom).filter(|written| written.messages.back() != Some(&now));
-        new.fold((0, 0), |(count, most), written| {
-            written.messages.retain(|time| *time + span >= now);
-            (count + 1, most.max(written.messages.len()))
+        let new = reached(&mut self.proxies, whom).filter(|joined| joined.messages.back() != Some(&now));
+        new.fold((0, 0), |(count, most), joined| {
+            joined.messages.retain(|time| *time + span >= now);
+            (count + 1, most.max(joined.messages.len()))
         })
     }
 
@@ -126,20 +249,19 @@
         let now = self.as_of;
         self.waiting += cost;
         if !self.begun.contains(&whom) {
-            let new =
-                reached(&mut self.proxies, whom).filter(|written| written.messages.back() != Some(&now));
-            new.for_each(|written| written.messages.push_back(now));
+            let new = reached(&mut self.proxies, whom).filter(|joined| joined.messages.back() != Some(&now));
+            new.for_each(|joined| joined.messages.push_back(now));
             self.begun.extend((!matches!(whom, Whom::One(_))).then_some(whom));
         }
     }
 }
 
-fn reached(proxies: &mut BTreeMap<Proxy, Written>, whom: Whom) -> impl Iterator<Item = &mut Written> {
+fn reached(proxies: &mut BTreeMap<Proxy, Joined>, whom: Whom) -> impl Iterator<Item = &mut Joined> {
     let (first, last) = if let Whom::One(proxy) = whom { (proxy, proxy) } else { (0, Proxy::MAX) };
-    let meant = move |written: &Written| match whom {
-        Whom::On(table) => written.tables.contains(&table),
-        Whom::Unbound(most) => written.tables.len() < most,
+    let meant = move |joined: &Joined| match whom {
+        Whom::On(table) => joined.tables.contains(&table),
+        Whom::Unbound(most) => joined.tables.len() < most,
         Whom::One(_) => true,
     };
-    proxies.range_mut(first..=last).map(|(_, written)| written).filter(move |written| meant(written))
+    proxies.range_mut(first..=last).map(|(_, joined)| joined).filter(move |joined| meant(joined))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,14 +54,6 @@
     TurnedAway,
 }
 
-/// What proxies do after a failed try.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SecondTry {
-    Never,
-    /// One more, after proof that the first never ran.
-    IfNeverRan,
-}
-
 /// One decision, to be carried out by the host before it asks for the next. All decisions given
 /// out at one time travel together, as one message to each proxy concerned.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,8 +66,9 @@
     Bind { table: TableNumber, classes: Vec<Class>, proxy: Proxy },
     /// Keep every joined proxy from a server, whatever tables it holds, or end that.
     Withdraw { server: Server, withdrawn: bool },
-    /// Let in this share of a class's visits at a table, and say when proxies try a second time.
-    Admit { table: TableNumber, class: Class, share: f64, second: SecondTry },
+    /// Let in this share of a class's visits at a table, and say whether proxies try once more after proof
+    /// that a try never ran.
+    Admit { table: TableNumber, class: Class, share: f64, second_try: bool },
     /// Tell the people on call, of one server or in general.
     Note { about: Option<Server>, text: String },
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,24 +3,26 @@
 //! How it is called: the host makes one [`Pilot`] an instance and calls the method named for what
 //! became known (`listed`, `probed`, `reported`, `counted`, `joined`, `left`). These only update what
 //! is known. It then pulls `next_decision(now)` until there is none, and comes back at `next_due`.
-//! The types of the interface stand in `lib.rs`, what is read at the start in `terms.rs`.
+//! The types of the interface stand in `lib.rs`, what is read at the start in `terms.rs`,
+//! what is known and its sums in `ledger.rs`.
 //!
 //! The design: probes move a saturating rise/fall counter; a server has its listed weight while it is
-//! up and none otherwise; one shared table a class; only changed lines go out; after a start nothing
-//! is pushed until probes converge. Beside it stand six mechanisms:
+//! up and none otherwise; one shared table for classes that may use the same servers; only changed lines
+//! go out; after a start nothing is pushed until probes converge. Beside it stand six mechanisms:
 //! 1. Evidence: what proxies met at a server moves its counter too, up and down.
 //! 2. Relief: servers that miss the contract time drop in weight, first for classes with more choice.
-//! 3. Return: a started server begins with the stated cold share, or with none while all is uneasy.
+//! 3. Return: a started server begins with the stated cold share, or with none while its part is uneasy.
 //! 4. Pace: one budget for the queue and the message limit, with room kept for drains.
 //! 5. Admission: where a class's servers are late as a whole, the least earnings per work stay out.
-//! 6. Second tries: only after proof that the first never ran, and while there is headroom.
+//! 6. Parts: a fleet that does not fit one table is cut into parts, each run like a small fleet.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::chance::Chance;
-use crate::ledger::{Channel, Tally, Whom};
-use crate::{Class, Decision, Finding, Listed, Listing, Proxy, SecondTry, Server, TableNumber, Terms, Zone};
+use crate::ledger::{Channel, Gate, Joined, Known, Table, Tally, Whom};
+use crate::{Class, Decision, Finding, Listed, Listing, Proxy, Server, TableNumber, Terms, Zone};
 
 // The design's figures, from its page.
 const RISE: u32 = 2;
@@ -37,10 +39,12 @@
 
 /// The part of the grace after which a hold gives way to it.
 const GIVE_WAY: f64 = 0.3;
+/// A standing table may be drawn from as few servers: with so many kept out, one may have no other.
+const POOL: usize = 3;
 /// Probes are spread by this share of their interval, so that they don't march in step.
 const JITTER: f64 = 0.1;
-/// A line is not worth its cost while it is off by less than this share; the resend takes all.
-const TOLERANCE: f64 = 0.1;
+/// Weights and levels change by one of so many steps.
+const GRID: f64 = 20.0;
 /// Share of failed tries from which a server is taken to be down, and below which it is well.
 const FAILING: f64 = 0.85;
 const SOUND: f64 = 0.2;
@@ -70,31 +74,19 @@
 const COMMON: f64 = 0.5;
 const BINDING: f64 = 0.75;
 const DRAINING: f64 = 0.95;
+/// One table for all does not fit a fleet if laying it at every proxy takes more than this share of the
+/// queue. Then the proxies of a part may open so much of the connections that a server accepts, and so
+/// many share a table at least.
+const CROWDED: f64 = 0.2;
+const CROWD: f64 = 0.1;
+const SHARED: f64 = 5.0;
+/// A part takes proxies of its zone up to this multiple of its fair load, and looks to other zones while
+/// it is weaker than those beside it by this.
+const SPILL: f64 = 1.1;
+const WEAK: f64 = 0.6;
 /// The channel is taken to send this many times slower than stated: on bad days it does.
 const SLOWEST: f64 = 8.0;
 
-#[derive(Default)]
-struct Known {
-    listing: Listing,
-    /// `None` until the first result.
-    counter: Option<u32>,
-    probe_at: Duration,
-    probe_sent: Option<Duration>,
-    /// Its process started at the one time, and is warm by the other.
-    started: Duration,
-    warm_at: Duration,
-    relief: f64,
-    /// Reports before this time tell of the server as it was before it started or came back.
-    heed_from: Duration,
-    /// Condemned by reports: passing probes don't count before this time.
-    doubted_until: Duration,
-    /// What reports told since the last review, and of late.
-    fresh: Tally,
-    recent: Tally,
-    load: f64,
-    withdrawn: bool,
-}
-
 impl Known {
     fn late(&self, contract: f64) -> f64 {
         self.recent.lateness(contract).max(if self.load > BUSY { WORSE * LATE } else { 0.0 })
@@ -113,14 +105,6 @@
         };
     }
 
-    fn barred(&self) -> bool {
-        self.listing.state != Listed::Ready
-    }
-
-    fn cold(&self, now: Duration) -> bool {
-        now < self.warm_at
-    }
-
     /// The share of its work that it can surely do, growing evenly from the cold share.
     fn warmth(&self, now: Duration, terms: &Terms) -> f64 {
         let left = self.warm_at.saturating_sub(now).as_secs_f64();
@@ -129,49 +113,6 @@
     }
 }
 
-/// What is let in of one class, at one table.
-struct Gate {
-    class: Class,
-    table: TableNumber,
-    name: String,
-    contract: f64,
-    earnings: f64,
-    /// Visits that came of late, and the share that should be let in.
-    demand: f64,
-    level: f64,
-    /// As it was published.
-    admitted: Option<(f64, SecondTry)>,
-}
-
-#[derive(Default)]
-struct Table {
-    /// Zones and kinds that its classes are bound to.
-    only: [Option<Vec<usize>>; 2],
-    released: bool,
-    /// Weights as they should be by the last plan, and as they were published.
-    wanted: BTreeMap<Server, f64>,
-    lines: BTreeMap<Server, f64>,
-    /// How late its servers are, by their part in it.
-    late: f64,
-    /// What it keeps of its part at servers that classes with less choice need.
-    kept: f64,
-}
-
-impl Table {
-    fn serves(&self, listing: &Listing) -> bool {
-        let place = [listing.zone, listing.kind];
-        self.only.iter().zip(place).all(|(only, at)| only.as_ref().is_none_or(|only| only.contains(&at)))
-    }
-
-    fn narrow(&self) -> bool {
-        self.only != [None, None]
-    }
-
-    fn held(&self, server: Server) -> f64 {
-        self.lines.get(&server).copied().unwrap_or(0.0)
-    }
-}
-
 /// One order of a plan. It is sent if this part of the limits on queue and messages has room for it.
 #[derive(Clone, Copy)]
 struct Step(f64, Order);
@@ -181,7 +122,7 @@
     Withdraw(Server, bool),
     Weigh(TableNumber, Server),
     /// The first is the gate.
-    Admit(usize, f64, SecondTry),
+    Admit(usize, f64),
     Bind(TableNumber, Proxy),
 }
 
@@ -189,13 +130,17 @@
 pub struct Pilot {
     terms: Terms,
     chance: Chance,
+    /// One a part and set of classes, part by part.
     tables: Vec<Table>,
+    parts: usize,
+    /// So many parts lie beside each other, one in each zone.
+    row: usize,
+    /// Tables of a part.
+    each: usize,
     /// The least earnings per contract time first.
     gates: Vec<Gate>,
     outdated: bool,
     servers: BTreeMap<Server, Known>,
-    /// Zones of the joined proxies.
-    proxies: BTreeMap<Proxy, Zone>,
     channel: Channel,
     /// Times at which a probe is due or lost; those that others took the place of are passed over.
     due: BTreeSet<(Duration, Server)>,
@@ -205,44 +150,50 @@
     news: bool,
     /// Levels rest until then, for reports to tell what they changed.
     next_step: Duration,
-    /// Started servers are not safe before: proxies that fail elsewhere, still shun what they could not
+    /// By part: started servers are not safe before. Proxies that fail elsewhere, still shun what they could not
     /// reach, or come back as levels rise bring all to a started server, however small its weight.
-    uneasy_until: Duration,
+    uneasy_until: Vec<Duration>,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
     next_review: Duration,
-    next_resend: Duration,
     next_push: Duration,
-    /// The next plan takes common changes in: all that differs, or what is worth its line.
-    pushing: Option<bool>,
+    /// The next plan takes common changes in.
+    pushing: bool,
 }
 
 impl Pilot {
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let (mut tables, mut gates): (Vec<Table>, Vec<Gate>) = Default::default();
-        for class in 0..terms.count("classes") {
-            let name = |what: &str| format!("classes.{class}.{what}");
-            let contract = terms.time(&name("contract_time_us")).unwrap_or(PROBE_STEADY);
-            let only = ["zones", "kinds"].map(|all| terms.positions(&name(&format!("only_{all}")), all));
-            // Classes that may use the same servers share a table: each line and binding costs once.
-            let table = tables.iter().position(|table| table.only == only).unwrap_or(tables.len());
-            if table == tables.len() {
-                tables.push(Table { only, kept: 1.0, ..Table::default() });
+        Pilot { chance: Chance::new(seed), terms, ..Pilot::default() }
+    }
+
+    /// Cuts the fleet into parts if it does not fit one table, and lays out the tables of each part.
+    fn lay_out(&mut self, servers: usize) {
+        let (terms, number) = (&self.terms, |name: &str| self.terms.number(name).unwrap_or(0.0));
+        let (proxies, pilots) = (number("fleet.proxies"), number("pilots").max(1.0));
+        let crowded = servers as f64 * proxies / pilots / terms.limit("fleet.queue_most_lines");
+        let uncrowded = proxies / (CROWD * terms.limit("fleet.connections_least"));
+        let parts = uncrowded.min(proxies / pilots / SHARED) as usize;
+        let name = |class: usize, all: &str| format!("classes.{class}.only_{all}");
+        let only = |class| ["zones", "kinds"].map(|all| terms.positions(&name(class, all), all));
+        let classes: Vec<[Option<Vec<usize>>; 2]> = (0..terms.count("classes")).map(only).collect();
+        let zoned = crowded > CROWDED && classes.iter().all(|only| only[0].is_none());
+        self.row = if zoned { terms.count("zones").max(1) } else { 1 };
+        self.parts = if crowded > CROWDED { (parts / self.row).max(1) * self.row } else { 1 };
+        self.uneasy_until = vec![Duration::ZERO; self.parts];
+        for part in 0..self.parts {
+            for (class, only) in classes.iter().enumerate() {
+                // Classes that may use the same servers share a table: each line and binding costs once.
+                let alike = |table: &Table| table.part == part && table.only == *only;
+                let table = self.tables.iter().position(alike).unwrap_or(self.tables.len());
+                if table == self.tables.len() {
+                    self.tables.push(Table { part, only: only.clone(), kept: 1.0, ..Table::default() });
+                }
+                self.gates.push(Gate::read(terms, class, table));
             }
-            gates.push(Gate {
-                class,
-                table,
-                name: terms.text(&name("name")).unwrap_or("a class without a name").to_string(),
-                contract: contract.as_secs_f64().max(1e-3),
-                earnings: terms.number(&name("earnings")).unwrap_or(1.0),
-                demand: 0.0,
-                level: 1.0,
-                admitted: None,
-            });
         }
+        self.each = self.tables.len() / self.parts;
         let rank = |gate: &Gate| gate.earnings / gate.contract;
-        gates.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
-        Pilot { chance: Chance::new(seed), tables, gates, next_resend: RESEND, terms, ..Pilot::default() }
+        self.gates.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
     }
 
     // What became known.
@@ -258,13 +209,33 @@
         for (_, known) in self.servers.iter_mut().filter(|(server, _)| gone(server)) {
             known.listing.state = Listed::Gone;
         }
-        let (within, settle, probes) = (self.warm_within(), self.settle(), self.terms.flag("allowed.probes"));
+        if self.tables.is_empty() && !entries.is_empty() {
+            self.lay_out(entries.len());
+        }
+        // Dealt to the parts of their zone like cards, so that each has its share of every kind.
+        let known = |entry: &&Listing| self.servers.contains_key(&entry.server);
+        let unknown = |entry: &&Listing| entry.state != Listed::Gone && !known(entry);
+        let mut new: Vec<Listing> = entries.iter().filter(unknown).copied().collect();
+        let place = |listing: &Listing| (listing.kind, listing.zone);
+        new.sort_by_key(|entry| (place(entry), entry.server));
+        for listing in new {
+            let mut dealt = vec![(0, 0); self.parts];
+            for known in self.servers.values().filter(|known| !known.barred()) {
+                let (alike, all) = &mut dealt[known.part];
+                (*alike, *all) = (*alike + usize::from(place(&known.listing) == place(&listing)), *all + 1);
+            }
+            let near = (0..self.parts).filter(|part| part % self.row == listing.zone % self.row);
+            let part = near.min_by_key(|part| dealt[*part]).unwrap_or(0);
+            let new = Known { part, listing, relief: 1.0, probe_at: Duration::MAX, ..Known::default() };
+            self.servers.insert(listing.server, new);
+        }
+        let (within, settle, probes) =
+            (self.terms.span("rules.warm_within_us"), self.settle(), self.terms.flag("allowed.probes"));
         for entry in entries {
             if entry.state == Listed::Gone && !binds {
                 continue;
             }
-            let new = || Known { relief: 1.0, probe_at: Duration::MAX, ..Known::default() };
-            let known = self.servers.entry(entry.server).or_insert_with(new);
+            let Some(known) = self.servers.get_mut(&entry.server) else { continue };
             let fresh = known.probe_at == Duration::MAX || known.barred();
             known.listing = *entry;
             let age = entry.age.unwrap_or(within);
@@ -310,20 +281,18 @@
         }
     }
 
-    pub fn counted(&mut self, class: Class, visits: u32) {
+    pub fn counted(&mut self, proxy: Proxy, class: Class, visits: u32) {
+        let part = self.channel.proxies.get(&proxy).and_then(|joined| joined.part);
         for gate in self.gates.iter_mut().filter(|gate| gate.class == class) {
-            gate.demand += f64::from(visits);
+            gate.demand += if part == Some(self.tables[gate.table].part) { f64::from(visits) } else { 0.0 };
         }
     }
 
     /// A proxy's stream stands. Its tables are of before; unless `fresh`, it may shun what failed it.
-    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, fresh: bool) {
-        if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
-            self.uneasy_until = now + self.warm_within().mul_f64(UNEASY);
-        }
+    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
         self.news = true;
-        self.proxies.insert(proxy, zone);
-        self.channel.join(proxy);
+        let part = (self.parts == 1).then_some(0);
+        self.channel.join(proxy, Joined { zone, rate, fresh, part, ..Joined::default() });
         // Withdrawals that went out before have not reached it.
         let kept_out = self.kept_out(now);
         for (server, known) in &mut self.servers {
@@ -332,7 +301,6 @@
     }
 
     pub fn left(&mut self, proxy: Proxy) {
-        self.proxies.remove(&proxy);
         self.channel.leave(proxy);
     }
 
@@ -348,7 +316,8 @@
             self.plan(now);
         }
         while let Some(Step(part, order)) = self.steps.pop_front() {
-            if matches!(order, Order::Withdraw(_, true)) && self.unbound() == 0 {
+            if matches!(order, Order::Withdraw(_, true)) && self.channel.count(Whom::Unbound(self.each)) == 0
+            {
                 continue;
             }
             let taken = self.take(now, part, order);
@@ -379,12 +348,10 @@
         self.next_beat = now + GATHER;
         self.news = true;
         if now >= self.next_review {
-            self.next_review = now + self.period();
+            self.next_review = now + self.terms.span("fleet.report_period_us").max(GATHER);
             self.review(now);
         }
-        let all = now >= self.next_resend;
-        self.pushing = (now >= self.next_push).then_some(all);
-        self.next_resend = if self.pushing == Some(true) { now + RESEND } else { self.next_resend };
+        self.pushing |= now >= self.next_push;
     }
 
     /// The result of the probe that is out, if one is, moves the counter and sets the next probe.
@@ -404,14 +371,17 @@
     /// Once a report period: what proxies met moves counters, relief and levels.
     fn review(&mut self, now: Duration) {
         let (contract, settle) = (self.contract(), self.settle());
-        let up = self.servers.values().filter(|known| known.up());
-        let fresh = up.fold(Tally::default(), |sum, known| known.fresh.over(sum, 1.0));
+        let mut all = vec![Tally::default(); self.parts];
+        for known in self.servers.values().filter(|known| known.up()) {
+            all[known.part] = known.fresh.over(all[known.part], 1.0);
+        }
         self.gates.iter_mut().for_each(|gate| gate.demand *= KEEP);
-        let bearable = LATE.max(WORSE * fresh.lateness(contract));
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
             known.recent = seen.over(known.recent, FADE);
-            // Evidence, against the rest of the fleet: a general slump condemns nobody.
+            let fresh = all[known.part];
+            let bearable = LATE.max(WORSE * fresh.lateness(contract));
+            // Evidence, against the rest of its part: a general slump condemns nobody.
             let others = (fresh.failed - seen.failed) / (fresh.tries - seen.tries).max(1.0);
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
             if fails && known.up() && !known.barred() && others < SOUND {
@@ -434,35 +404,42 @@
                 known.relief = (was + RELIEF_BACK).min(1.0);
             }
         }
-        if now >= self.next_step {
-            self.shed();
-        }
-        let shedding = self.gates.iter().any(|gate| gate.level < 1.0);
-        self.next_step = if shedding && now >= self.next_step { now + settle } else { self.next_step };
-        let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
-        if shedding || !well || fresh.lateness(contract) > LATE {
-            self.uneasy_until = self.uneasy_until.max(now + self.warm_within().mul_f64(UNEASY));
+        let step = now >= self.next_step;
+        self.measure();
+        for (part, fresh) in all.into_iter().enumerate() {
+            if step {
+                self.shed(part);
+            }
+            let mut gates = self.gates.iter().filter(|gate| self.tables[gate.table].part == part);
+            let shedding = gates.any(|gate| gate.level < 1.0);
+            self.next_step = if shedding && step { now + settle } else { self.next_step };
+            let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
+            if shedding || !well || fresh.lateness(contract) > LATE {
+                let uneasy = &mut self.uneasy_until[part];
+                *uneasy = (*uneasy).max(now + self.terms.span("rules.warm_within_us").mul_f64(UNEASY));
+            }
         }
     }
 
     /// Admission: classes whose servers are late are let in less, the least earnings per work first,
     /// and come back as their servers find time again.
-    fn shed(&mut self) {
-        self.measure();
-        let suffering = self.gates.iter().filter(|gate| self.tables[gate.table].late > LATE);
+    fn shed(&mut self, part: usize) {
+        let own = self.lanes(part);
+        let late = |gate: &&Gate| own.contains(&gate.table) && self.tables[gate.table].late > LATE;
+        let suffering = self.gates.iter().filter(late);
         let work = |gate: &Gate| gate.contract * gate.demand.max(1e-9);
         let let_in: f64 = suffering.map(|gate| work(gate) * gate.level).sum();
-        let worst = self.tables.iter().fold(LATE, |worst, table| worst.max(table.late));
+        let worst = self.tables[own.clone()].iter().fold(LATE, |worst, table| worst.max(table.late));
         let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
         // A class that may go elsewhere makes room where one that may not is late.
-        let narrow = self.tables.iter().filter(|table| table.narrow()).map(|table| table.late);
+        let narrow = self.tables[own.clone()].iter().filter(|table| table.narrow()).map(|table| table.late);
         let pressed = narrow.fold(0.0, f64::max);
-        for table in &mut self.tables {
+        for table in &mut self.tables[own.clone()] {
             let back = if pressed < ROOM { RELIEF_BACK } else { 0.0 };
             let made = pressed > LATE.max(table.late);
             table.kept = if made { ALWAYS_LEFT } else { (table.kept + back).min(1.0) };
         }
-        for gate in &mut self.gates {
+        for gate in self.gates.iter_mut().filter(|gate| own.contains(&gate.table)) {
             let (late, was, work) = (self.tables[gate.table].late, gate.level, work(gate));
             if late > LATE {
                 let cut = out.min(work * (was - ALWAYS_LEFT).max(0.0));
@@ -474,6 +451,16 @@
         }
     }
 
+    /// Whether a server may be used for a table, being in its part or one beside it.
+    fn beside(&self, table: &Table, known: &Known) -> bool {
+        known.part / self.row == table.part / self.row && table.allows(&known.listing)
+    }
+
+    /// The tables of a part.
+    fn lanes(&self, part: usize) -> Range<TableNumber> {
+        part * self.each..(part + 1) * self.each
+    }
+
     /// How late the servers of each table are, by the part that each has in it.
     fn measure(&mut self) {
         let contract = self.contract();
@@ -493,50 +480,68 @@
         for index in 0..self.tables.len() {
             self.tables[index].wanted = self.desired(now, index);
         }
-        let (pushing, mut steps) = (self.pushing.take(), Vec::new());
-        if pushing.is_some() {
+        let (pushing, mut steps) = (std::mem::take(&mut self.pushing), Vec::new());
+        if pushing {
             self.measure();
             for (index, gate) in self.gates.iter().enumerate() {
-                let (table, level) = (&self.tables[gate.table], grid(gate.level));
-                let room = level == 1.0 && table.late < LATE;
-                let second = if room { SecondTry::IfNeverRan } else { SecondTry::Never };
-                if table.released && gate.admitted != Some((level, second)) {
-                    steps.push(Step(COMMON, Order::Admit(index, level, second)));
+                let level = grid(gate.level);
+                if self.tables[gate.table].released && gate.admitted != Some(level) {
+                    steps.push(Step(COMMON, Order::Admit(index, level)));
                 }
             }
         }
         steps.extend(self.changes(now, pushing));
-        for proxy in self.proxies.keys() {
-            let free = |table: &usize| self.tables[*table].released && !self.channel.bound(*proxy, *table);
-            let tables = (0..self.tables.len()).filter(free);
-            steps.extend(tables.map(|table| Step(BINDING, Order::Bind(table, *proxy))));
-        }
+        steps.extend(self.bindings());
         steps.extend(self.withdrawals(now));
         self.steps = steps.into();
     }
 
+    /// Proxies come onto the tables of a part once they are released, those with most visits first. Each
+    /// goes to the part that has the least, so that all parts carry alike.
+    fn bindings(&mut self) -> Vec<Step> {
+        let (mut steps, mut carried) = (Vec::new(), self.channel.carried(self.parts));
+        let mut room = vec![1e-9; self.parts];
+        self.servers.values().for_each(|known| room[known.part] += known.listing.weight);
+        let all = self.channel.mean_rate() * self.terms.number("fleet.proxies").unwrap_or(0.0);
+        let fair = SPILL * all / room.iter().sum::<f64>();
+        for (proxy, joined) in self.channel.unbound(self.each) {
+            let load = |part: usize| (carried[part] + joined.rate) / room[part];
+            let far = |part: usize| part % self.row != joined.zone % self.row || load(part) >= fair;
+            let rank = |part: usize, other: usize| load(part).total_cmp(&load(other));
+            let least = (0..self.parts).min_by(|a, b| far(*a).cmp(&far(*b)).then(rank(*a, *b)));
+            let (new, part) = (joined.part.is_none(), joined.part.or(least).unwrap_or(0));
+            joined.part = Some(part);
+            carried[part] += if new { joined.rate } else { 0.0 };
+            let tables = part * self.each..(part + 1) * self.each;
+            let free = tables.filter(|table| self.tables[*table].released && !joined.tables.contains(table));
+            steps.extend(free.map(|table| Step(BINDING, Order::Bind(table, proxy))));
+        }
+        steps
+    }
+
     /// The start hold, for each table.
     fn release(&mut self, now: Duration) {
         // A list that changed before this start has lost servers that proxies may still hold, and that
         // cannot be named: the hold gives way, so that all are on these tables within the grace.
         let grace = self.terms.time("rules.drain_grace_us").unwrap_or(HOLD_MOST);
         let most = if self.outdated { HOLD_MOST.min(grace.mul_f64(GIVE_WAY)) } else { HOLD_MOST };
+        let kept_out = self.kept_out(now).len();
         for index in 0..self.tables.len() {
             let table = &self.tables[index];
-            let mut serving = self.servers.values().filter(|known| table.serves(&known.listing));
+            let mut serving = self.servers.values().filter(|known| self.beside(table, known));
             let why = match () {
                 _ if table.released => continue,
                 _ if now >= HOLD_LEAST.min(most) && serving.all(|known| known.counter.is_some()) => {
                     "all its servers have a result"
                 }
                 _ if now >= most => "the hold is over",
-                _ if self.runs_out(now, table) => "standing tables may hold nothing but withdrawn servers",
+                _ if kept_out >= POOL => "standing tables may hold nothing but withdrawn servers",
                 _ => continue,
             };
             let names: Vec<&str> = self.gates_of(index).map(|gate| gate.name.as_str()).collect();
             let text = format!("{}: table released, {why}", names.join(", "));
             self.ready.push_back(Decision::Note { about: None, text });
-            (self.tables[index].released, self.pushing) = (true, Some(true));
+            (self.tables[index].released, self.pushing) = (true, true);
         }
     }
 
@@ -552,17 +557,12 @@
         self.gates.iter().filter(move |gate| gate.table == table)
     }
 
-    /// Proxies that still hold tables of before.
-    fn unbound(&self) -> usize {
-        self.channel.count(Whom::Unbound(self.tables.len()))
-    }
-
     /// Servers that are kept out leave the tables of before, hold or not: no proxy may send there past
     /// the grace. One that returns comes back at its cold share, never at the weight it left with.
     fn withdrawals(&self, now: Duration) -> Vec<Step> {
-        let (kept_out, unbound) = (self.kept_out(now), self.unbound() > 0);
-        let held =
-            |server: &Server| self.tables.iter().any(|table| table.held(*server) > table.wanted[server]);
+        let (kept_out, unbound) = (self.kept_out(now), self.channel.count(Whom::Unbound(self.each)) > 0);
+        let more = |server: &Server, table: &Table| table.held(*server) > table.wants(*server);
+        let held = |server: &Server| self.tables.iter().any(|table| more(server, table));
         let due = self.servers.iter().filter(|(server, known)| match kept_out.contains(server) {
             true => !known.withdrawn && unbound,
             false => known.withdrawn && !unbound && !held(server),
@@ -572,27 +572,24 @@
 
     /// Changed lines, ranked by the traffic that each moves. A server that drains, is gone or was started
     /// anew loses its weight without waiting for the next push: the grace runs.
-    fn changes(&mut self, now: Duration, pushing: Option<bool>) -> Vec<Step> {
+    fn changes(&mut self, now: Duration, pushing: bool) -> Vec<Step> {
         let mut ranked: Vec<(f64, Step)> = Vec::new();
         for (index, table) in self.tables.iter().enumerate().filter(|(_, table)| table.released) {
             let total: f64 = table.wanted.values().sum();
             let demand: f64 = self.gates_of(index).map(|gate| gate.demand).sum();
             for (server, weight) in &table.wanted {
                 let (held, known) = (table.held(*server), &self.servers[server]);
-                let off = (weight - held).abs();
-                let small = off <= TOLERANCE * weight.max(held) && held > 0.0 && *weight > 0.0;
-                let urgent = (known.barred() || known.cold(now)) && *weight < held && !small;
-                let due = pushing.is_some() && off > 0.0 && (!small || pushing == Some(true));
-                if urgent || due && !known.withdrawn {
+                let urgent = (known.barred() || known.cold(now)) && *weight < held;
+                if urgent || pushing && *weight != held && !known.withdrawn {
                     let part = if urgent { DRAINING } else { COMMON };
-                    let moves = off / total.max(1e-9) * (1.0 + demand);
+                    let moves = (weight - held).abs() / total.max(1e-9) * (1.0 + demand);
                     ranked.push((moves, Step(part, Order::Weigh(index, *server))));
                 }
             }
         }
         if ranked.iter().any(|(_, step)| step.0 == COMMON) {
             // So far apart, common changes leave room within the limit on messages.
-            let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
+            let span = self.terms.span("fleet.messages_span_us");
             let most = self.terms.limit("fleet.messages_most");
             self.next_push = now + GATHER.max(span.div_f64(most * COMMON));
         }
@@ -605,28 +602,27 @@
         match order {
             Order::Withdraw(server, withdrawn) => {
                 // Where all are on tables, none of them has the server in it.
-                self.spend(now, 1, Whom::Unbound(self.tables.len()), part)?;
+                self.spend(now, 1, Whom::Unbound(self.each), part)?;
                 self.servers.get_mut(&server)?.withdrawn = withdrawn;
                 Some(Decision::Withdraw { server, withdrawn })
             }
             Order::Weigh(index, server) => {
                 self.spend(now, 1, Whom::On(index), part)?;
                 let table = &mut self.tables[index];
-                let weight = table.wanted[&server];
+                let weight = table.wants(server);
                 table.lines.insert(server, weight);
                 Some(Decision::Weigh { table: index, server, weight })
             }
-            Order::Admit(index, share, second) => {
+            Order::Admit(index, share) => {
                 let (table, class) = (self.gates[index].table, self.gates[index].class);
                 self.spend(now, 1, Whom::On(table), part)?;
                 let (gate, late) = (&mut self.gates[index], self.tables[table].late);
-                if gate.admitted.replace((share, second)).is_some_and(|(before, _)| before != share) {
+                if gate.admitted.replace(share).is_some_and(|before| before != share) {
                     let share = share * 100.0;
-                    let text =
-                        format!("{}: {share:.0}% let in, answers take {late:.1} contract times", gate.name);
+                    let text = format!("{}: {share:.0}% in, late by {late:.1} contract times", gate.name);
                     self.ready.push_back(Decision::Note { about: None, text });
                 }
-                Some(Decision::Admit { table, class, share, second })
+                Some(Decision::Admit { table, class, share, second_try: true })
             }
             Order::Bind(index, proxy) => {
                 let table = &self.tables[index];
@@ -638,53 +634,57 @@
                 let lines = 1 + classes.len() + lines;
                 self.spend(now, lines, Whom::One(proxy), part)?;
                 self.channel.bind(proxy, index);
+                let fresh = self.channel.proxies.get(&proxy).is_some_and(|joined| joined.fresh);
+                if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
+                    let part = self.tables[index].part;
+                    self.uneasy_until[part] = now + self.terms.span("rules.warm_within_us").mul_f64(UNEASY);
+                }
                 Some(Decision::Bind { table: index, classes, proxy })
             }
         }
     }
 
-    /// Whether standing tables, drawn in the zones of proxies, may hold nothing but withdrawn servers.
-    fn runs_out(&self, now: Duration, table: &Table) -> bool {
-        let (kept_out, zones) = (self.kept_out(now), self.proxies.values().copied());
-        let standing = self.terms.number("fleet.standing").unwrap_or(0.0) as usize;
-        zones.collect::<BTreeSet<_>>().into_iter().any(|zone| {
-            let serving = self.servers.iter().filter(|(_, known)| table.serves(&known.listing));
-            let near = |known: &Known| known.listing.zone == zone;
-            let nearby = serving.clone().filter(|(_, known)| near(known)).count();
-            // A table is drawn in its zone if that has three servers.
-            let pool = serving.filter(|(_, known)| nearby < 3 || near(known)).map(|(server, _)| server);
-            let withdrawn = pool.clone().filter(|server| kept_out.contains(server)).count();
-            withdrawn > 0 && withdrawn >= pool.count().min(standing)
-        })
-    }
-
     /// The weights that a table should hold: a pure function of list and numbers.
     fn desired(&self, now: Duration, index: TableNumber) -> BTreeMap<Server, f64> {
         let table = &self.tables[index];
         // A cold server gets nothing while the fleet is uneasy or a probe of its own fails.
-        let safe = |known: &Known| now >= self.uneasy_until && known.counter.unwrap_or(TOP) == TOP;
-        let listed = |known: &Known| known.listing.weight * known.warmth(now, &self.terms);
+        let (uneasy, terms) = (now < self.uneasy_until[table.part], &self.terms);
+        let safe = |known: &Known| !uneasy && known.counter.unwrap_or(TOP) == TOP;
+        let listed = |known: &Known, part: f64| known.listing.weight * grid(known.warmth(now, terms) * part);
         let carries = |known: &Known| !known.cold(now) || safe(known);
-        let needed = |known: &Known| self.tables.iter().any(|t| t.narrow() && t.serves(&known.listing));
+        let own = &self.tables[self.lanes(table.part)];
+        let needed = |known: &Known| own.iter().any(|t| t.narrow() && t.allows(&known.listing));
         let kept = |known: &Known| if !table.narrow() && needed(known) { table.kept } else { 1.0 };
         let part = |known: &Known| if carries(known) { known.relief * kept(known) } else { 0.0 };
-        let full = |known: &Known| grid(listed(known) * part(known));
+        let full = |known: &Known| listed(known, part(known));
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
-        let usable = |known: &Known| table.serves(&known.listing) && !known.barred();
-        let good = || self.servers.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
+        let usable = |known: &Known| !known.barred();
+        let here = self.servers.iter().filter(|(_, known)| self.beside(table, known));
+        let members: Vec<(&Server, &Known)> = here.collect();
+        let good = || members.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
         let any_up = good().any(|(_, known)| up(known));
-        let any_held =
-            self.channel.count(Whom::On(index)) > 0 && good().any(|(server, _)| table.held(*server) > 0.0);
+        let laid = self.channel.count(Whom::On(index)) > 0;
+        let any_held = laid && good().any(|(server, _)| table.held(**server) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
             _ if !usable(known) => 0.0,
             (true, _) if up(known) => full(known),
             (true, _) => 0.0,
             // All look down: the last table stays, but for what is cold now.
             (false, true) => table.held(*server).min(full(known)),
-            (false, false) => grid(listed(known)),
+            (false, false) => listed(known, 1.0),
+        };
+        // A part that is lost, cold or has no server of the kind looks to those beside it.
+        let strength = |own: bool| {
+            let of = members.iter().filter(|(_, known)| !own || known.part == table.part);
+            let able = |(server, known): &(&Server, &Known)| weight(server, known) > 0.0;
+            let sum: f64 = of.clone().filter(|at| able(at)).map(|(_, known)| listed(known, 1.0)).sum();
+            sum / of.map(|(_, known)| known.listing.weight).sum::<f64>().max(1e-9)
         };
-        self.servers.iter().map(|(server, known)| (*server, weight(server, known))).collect()
+        let alone = strength(true) >= WEAK * strength(false);
+        let reach = |known: &Known| !alone || known.part == table.part;
+        let part = |server, known| if reach(known) { weight(server, known) } else { 0.0 };
+        members.iter().map(|(server, known)| (**server, part(server, known))).collect()
     }
 
     /// Pace: takes lines off the budget for each of these proxies; none if the queue or a proxy's
@@ -692,7 +692,7 @@
     fn spend(&mut self, now: Duration, lines: usize, whom: Whom, part: f64) -> Option<()> {
         let head = self.terms.number("fleet.message_head_lines").unwrap_or(0.0);
         let most = self.terms.limit("fleet.messages_most") * part;
-        let span = self.terms.time("fleet.messages_span_us").unwrap_or_default();
+        let span = self.terms.span("fleet.messages_span_us");
         let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
         let waiting = self.channel.waiting(now, pace);
         let (begun, had) = self.channel.begins(whom, span);
@@ -705,16 +705,8 @@
         Some(())
     }
 
-    fn period(&self) -> Duration {
-        self.terms.time("fleet.report_period_us").unwrap_or(PROBE_STEADY).max(GATHER)
-    }
-
-    fn warm_within(&self) -> Duration {
-        self.terms.time("rules.warm_within_us").unwrap_or_default()
-    }
-
     fn settle(&self) -> Duration {
-        self.period().mul_f64(SETTLE) + self.terms.time("fleet.message_delay_us").unwrap_or_default()
+        self.terms.span("fleet.report_period_us").mul_f64(SETTLE) + self.terms.span("fleet.message_delay_us")
     }
 
     /// The mean contract time of what comes, in seconds.
@@ -725,7 +717,7 @@
     }
 }
 
-/// Weights lie on a grid, so that tables read well and equal numbers stay equal.
-fn grid(value: f64) -> f64 {
-    (value * 1000.0).round() / 1000.0
+/// Parts lie on a grid: smaller changes are not worth their lines, and equal numbers stay equal.
+fn grid(part: f64) -> f64 {
+    (part * GRID).round() / GRID
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -29,6 +29,11 @@
         Some(Duration::from_micros(micros as u64))
     }
 
+    /// A span of time; zero where none is stated.
+    pub fn span(&self, name: &str) -> Duration {
+        self.time(name).unwrap_or_default()
+    }
+
     /// A limit; none where it is not stated, or stated as 0.
     pub fn limit(&self, name: &str) -> f64 {
         self.number(name).filter(|limit| *limit > 0.0).unwrap_or(f64::INFINITY)
