Fill a table at once of which little is left

It could hurt where raises fill the queue that a drain then needs; the drains of that table are in the same messages.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,8 +80,8 @@
 const CROWDED: f64 = 0.2;
 const CROWD: f64 = 0.1;
 const SHARED: f64 = 5.0;
-/// A part takes proxies of its zone up to this multiple of its fair load, and looks to other zones while
-/// it is weaker than those beside it by this.
+/// A part takes proxies of its zone up to this multiple of its fair load. It looks to other zones while it
+/// is weaker than those beside it by so much, and a table of which so little is left is filled at once.
 const SPILL: f64 = 1.1;
 const WEAK: f64 = 0.6;
 /// The channel is taken to send this many times slower than stated: on bad days it does.
@@ -114,14 +114,11 @@
 }
 
 /// One order of a plan. It is sent if this part of the limits on queue and messages has room for it.
-#[derive(Clone, Copy)]
 struct Step(f64, Order);
 
-#[derive(Clone, Copy, PartialEq)]
 enum Order {
     Withdraw(Server, bool),
     Weigh(TableNumber, Server),
-    /// The first is the gate.
     Admit(usize, f64),
     Bind(TableNumber, Proxy),
 }
@@ -133,9 +130,8 @@
     /// One a part and set of classes, part by part.
     tables: Vec<Table>,
     parts: usize,
-    /// So many parts lie beside each other, one in each zone.
+    /// So many parts lie beside each other, one in each zone, and so many tables make a part.
     row: usize,
-    /// Tables of a part.
     each: usize,
     /// The least earnings per contract time first.
     gates: Vec<Gate>,
@@ -150,8 +146,8 @@
     news: bool,
     /// Levels rest until then, for reports to tell what they changed.
     next_step: Duration,
-    /// By part: started servers are not safe before. Proxies that fail elsewhere, still shun what they could not
-    /// reach, or come back as levels rise bring all to a started server, however small its weight.
+    /// By part: started servers are not safe before. Proxies that fail elsewhere, shun what they could
+    /// not reach, or come back as levels rise bring all to a started server, however small its weight.
     uneasy_until: Vec<Duration>,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
@@ -523,8 +519,8 @@
     fn release(&mut self, now: Duration) {
         // A list that changed before this start has lost servers that proxies may still hold, and that
         // cannot be named: the hold gives way, so that all are on these tables within the grace.
-        let grace = self.terms.time("rules.drain_grace_us").unwrap_or(HOLD_MOST);
-        let most = if self.outdated { HOLD_MOST.min(grace.mul_f64(GIVE_WAY)) } else { HOLD_MOST };
+        let grace = self.terms.time("rules.drain_grace_us").filter(|_| self.outdated);
+        let most = grace.map_or(HOLD_MOST, |grace| HOLD_MOST.min(grace.mul_f64(GIVE_WAY)));
         let kept_out = self.kept_out(now).len();
         for index in 0..self.tables.len() {
             let table = &self.tables[index];
@@ -577,9 +573,13 @@
         for (index, table) in self.tables.iter().enumerate().filter(|(_, table)| table.released) {
             let total: f64 = table.wanted.values().sum();
             let demand: f64 = self.gates_of(index).map(|gate| gate.demand).sum();
+            // What is left of it must not run out while what takes its place waits in the queue.
+            let left: f64 = table.wanted.iter().map(|(server, want)| want.min(table.held(*server))).sum();
+            let bare = left < WEAK * total;
             for (server, weight) in &table.wanted {
                 let (held, known) = (table.held(*server), &self.servers[server]);
-                let urgent = (known.barred() || known.cold(now)) && *weight < held;
+                let out = (known.barred() || known.cold(now)) && *weight < held;
+                let urgent = out || bare && *weight > held && !known.withdrawn;
                 if urgent || pushing && *weight != held && !known.withdrawn {
                     let part = if urgent { DRAINING } else { COMMON };
                     let moves = (weight - held).abs() / total.max(1e-9) * (1.0 + demand);
@@ -601,7 +601,6 @@
     fn take(&mut self, now: Duration, part: f64, order: Order) -> Option<Decision> {
         match order {
             Order::Withdraw(server, withdrawn) => {
-                // Where all are on tables, none of them has the server in it.
                 self.spend(now, 1, Whom::Unbound(self.each), part)?;
                 self.servers.get_mut(&server)?.withdrawn = withdrawn;
                 Some(Decision::Withdraw { server, withdrawn })
