--- a/src/logic.rs
+++ b/src/logic.rs
@@ -374,7 +374,7 @@
         self.gates.iter_mut().for_each(|gate| gate.demand *= KEEP);
         for (server, known) in &mut self.servers {
             let seen = std::mem::take(&mut known.fresh);
-            known.recent = seen.over(known.recent, if seen.tries > 0.0 { FADE } else { 1.0 });
+            known.recent = seen.over(known.recent, FADE);
             let fresh = all[known.part];
             let bearable = LATE.max(WORSE * fresh.lateness(contract));
             // Evidence, against the rest of its part: a general slump condemns nobody.
