Always let two fifths in; let no slow server count for much more than a failing one

The levels hold against any cause of lateness; it hurts where less than two fifths of the capacity is left for long.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,8 @@
 const ROOM: f64 = 0.28;
 /// Share of a server's cores in use from which its answers will be late, before reports tell.
 const BUSY: f64 = 0.95;
+/// For its table a server is at most so late: one slow beyond measure must not close all others.
+const LATE_MOST: f64 = 1.1;
 /// A server is late on its own only if it is so much worse than the fleet.
 const WORSE: f64 = 1.6;
 /// One step of relief takes at most this much, one step back gives so much.
@@ -62,7 +64,7 @@
 /// What one cut leaves at least of a level, how it grows back in one step, and what is always left.
 const SHED_STEP: f64 = 0.6;
 const SHED_BACK: f64 = 2.0;
-const ALWAYS_LEFT: f64 = 0.2;
+const ALWAYS_LEFT: f64 = 0.4;
 /// This share of what reports told of a server is kept each report period, and of what came.
 const FADE: f64 = 0.3;
 const KEEP: f64 = 0.9;
@@ -463,7 +465,8 @@
         for table in &mut self.tables {
             let lines = table.lines.iter().map(|(server, weight)| (&self.servers[server], weight));
             let told = lines.filter(|(known, _)| known.recent.tries >= 1.0 && !known.withdrawn);
-            let late = |(known, weight): (&Known, &f64)| (weight * known.late(contract), *weight);
+            let late =
+                |(known, weight): (&Known, &f64)| (weight * known.late(contract).min(LATE_MOST), *weight);
             let (sum, all) = told.map(late).fold((0.0, 1e-9), |(a, b), (c, d)| (a + c, b + d));
             table.late = sum / all;
         }
@@ -477,13 +480,10 @@
             self.tables[index].wanted = self.desired(now, index);
         }
         let (pushing, mut steps) = (std::mem::take(&mut self.pushing), Vec::new());
-        if pushing {
-            self.measure();
-            for (index, gate) in self.gates.iter().enumerate() {
-                let level = grid(gate.level);
-                if self.tables[gate.table].released && gate.admitted != Some(level) {
-                    steps.push(Step(COMMON, Order::Admit(index, level)));
-                }
+        for (index, gate) in self.gates.iter().enumerate().filter(|_| pushing) {
+            let level = grid(gate.level);
+            if self.tables[gate.table].released && gate.admitted != Some(level) {
+                steps.push(Step(COMMON, Order::Admit(index, level)));
             }
         }
         steps.extend(self.changes(now, pushing));
