--- a/src/logic.rs
+++ b/src/logic.rs
@@ -85,7 +85,7 @@
 /// A part takes proxies of its zone up to this multiple of its fair load. It looks to other zones while it
 /// is weaker than those beside it by so much, and a table of which so little is left is filled at once.
 const SPILL: f64 = 1.1;
-const WEAK: f64 = 0.6;
+const WEAK: f64 = 0.4;
 /// The channel is taken to send this many times slower than stated: on bad days it does.
 const SLOWEST: f64 = 8.0;
 
@@ -132,9 +132,10 @@
     /// One a part and set of classes, part by part.
     tables: Vec<Table>,
     parts: usize,
-    /// So many parts lie beside each other, one in each zone, and so many tables make a part.
+    /// So many parts lie beside each other, each in one of `places`; so many tables make a part.
     row: usize,
     each: usize,
+    places: usize,
     /// The least earnings per contract time first.
     gates: Vec<Gate>,
     outdated: bool,
@@ -174,9 +175,9 @@
         let name = |class: usize, all: &str| format!("classes.{class}.only_{all}");
         let only = |class| ["zones", "kinds"].map(|all| terms.positions(&name(class, all), all));
         let classes: Vec<[Option<Vec<usize>>; 2]> = (0..terms.count("classes")).map(only).collect();
-        let zoned = crowded > CROWDED && classes.iter().all(|only| only[0].is_none());
-        self.row = if zoned { terms.count("zones").max(1) } else { 1 };
-        self.parts = if crowded > CROWDED { (parts / self.row).max(1) * self.row } else { 1 };
+        self.row = if crowded > CROWDED { terms.count("zones").max(1) } else { 1 };
+        self.places = if classes.iter().all(|only| only[0].is_none()) { self.row } else { 1 };
+        self.parts = if crowded > CROWDED { parts.max(self.row) } else { 1 };
         self.uneasy_until = vec![Duration::ZERO; self.parts];
         for part in 0..self.parts {
             for (class, only) in classes.iter().enumerate() {
@@ -222,7 +223,7 @@
                 let (alike, all) = &mut dealt[known.part];
                 (*alike, *all) = (*alike + usize::from(place(&known.listing) == place(&listing)), *all + 1);
             }
-            let near = (0..self.parts).filter(|part| part % self.row == listing.zone % self.row);
+            let near = (0..self.parts).filter(|part| part % self.places == listing.zone % self.places);
             let part = near.min_by_key(|part| dealt[*part]).unwrap_or(0);
             let new = Known { part, listing, relief: 1.0, probe_at: Duration::MAX, ..Known::default() };
             self.servers.insert(listing.server, new);
@@ -302,8 +303,6 @@
         self.channel.leave(proxy);
     }
 
-    // What is decided.
-
     pub fn next_due(&self) -> Duration {
         self.due.first().map_or(self.next_beat, |(time, _)| self.next_beat.min(*time))
     }
@@ -502,9 +501,10 @@
         let fair = SPILL * all / room.iter().sum::<f64>();
         for (proxy, joined) in self.channel.unbound(self.each) {
             let load = |part: usize| (carried[part] + joined.rate) / room[part];
-            let far = |part: usize| part % self.row != joined.zone % self.row || load(part) >= fair;
             let rank = |part: usize, other: usize| load(part).total_cmp(&load(other));
-            let least = (0..self.parts).min_by(|a, b| far(*a).cmp(&far(*b)).then(rank(*a, *b)));
+            let away = |part: usize| part % self.places != joined.zone % self.places;
+            let far = |part: &usize| away(*part) || load(*part) >= fair;
+            let least = (0..self.parts).min_by(|a, b| far(a).cmp(&far(b)).then(rank(*a, *b)));
             let (new, part) = (joined.part.is_none(), joined.part.or(least).unwrap_or(0));
             joined.part = Some(part);
             carried[part] += if new { joined.rate } else { 0.0 };
