Keep cold servers out of a part for failing alone, not for lateness or levels

It could hurt where servers jam without failing; a cold server then has its cold share of a jam, which the stated multiple allows for.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -149,8 +149,8 @@
     news: bool,
     /// Levels rest until then, for reports to tell what they changed.
     next_step: Duration,
-    /// By part: started servers are not safe before. Proxies that fail elsewhere, shun what they could
-    /// not reach, or come back as levels rise bring all to a started server, however small its weight.
+    /// By part: started servers are not safe before. Proxies that fail elsewhere or shun what they could
+    /// not reach bring all to a started server, however small its weight.
     uneasy_until: Vec<Duration>,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
@@ -410,8 +410,7 @@
             let mut gates = self.gates.iter().filter(|gate| self.tables[gate.table].part == part);
             let shedding = gates.any(|gate| gate.level < 1.0);
             self.next_step = if shedding && step { now + settle } else { self.next_step };
-            let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
-            if shedding || !well || fresh.lateness(contract) > LATE {
+            if fresh.tries < 1.0 || fresh.failing() > SOUND {
                 let uneasy = &mut self.uneasy_until[part];
                 *uneasy = (*uneasy).max(now + self.terms.span("rules.warm_within_us").mul_f64(UNEASY));
             }
