Refuse nothing for the lateness of servers that tell they are idle; guard cold servers as before

Acts only where servers tell their load; holds also against hangs that refusing can't mend; hurts if load reports are old when a jam begins.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -65,7 +65,8 @@
     /// What reports told since the last review, and of late.
     pub fresh: Tally,
     pub recent: Tally,
-    pub load: f64,
+    /// Share of its cores in use, where it tells.
+    pub load: Option<f64>,
     pub withdrawn: bool,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,8 +51,9 @@
 /// Mean time over contract time from which servers count as late, and below which there is room.
 const LATE: f64 = 0.4;
 const ROOM: f64 = 0.28;
-/// Share of a server's cores in use from which its answers will be late, before reports tell.
+/// Shares of a server's cores in use: from here on it will be late, and below this it idles.
 const BUSY: f64 = 0.95;
+const IDLE: f64 = 0.6;
 /// For its table a server is at most so late: one slow beyond measure must not close all others.
 const LATE_MOST: f64 = 1.1;
 /// A server is late on its own only if it is so much worse than the fleet.
@@ -91,7 +92,11 @@
 
 impl Known {
     fn late(&self, contract: f64) -> f64 {
-        self.recent.lateness(contract).max(if self.load > BUSY { WORSE * LATE } else { 0.0 })
+        self.recent.lateness(contract).max(if self.load.is_some_and(|load| load > BUSY) {
+            WORSE * LATE
+        } else {
+            0.0
+        })
     }
 
     fn up(&self) -> bool {
@@ -149,8 +154,8 @@
     news: bool,
     /// Levels rest until then, for reports to tell what they changed.
     next_step: Duration,
-    /// By part: started servers are not safe before. Proxies that fail elsewhere or shun what they could
-    /// not reach bring all to a started server, however small its weight.
+    /// By part: started servers are not safe before. Proxies that fail elsewhere, shun what they could
+    /// not reach, or come back as levels rise bring all to a started server, however small its weight.
     uneasy_until: Vec<Duration>,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
@@ -195,8 +200,6 @@
         self.gates.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
     }
 
-    // What became known.
-
     /// The list of servers is at this version; `full` says that the entries are all of it.
     pub fn listed(&mut self, now: Duration, full: bool, version: u64, entries: &[Listing]) {
         self.outdated |= self.servers.is_empty() && version > 0;
@@ -244,8 +247,7 @@
             if started {
                 (known.started, known.warm_at) = (now.saturating_sub(age), warm_at);
             }
-            // A new process knows nothing of the old one's health. Where probes are not allowed, all
-            // count as having passed one.
+            // A new process has a health of its own. Where probes are not allowed, all have passed one.
             if started || fresh && !known.barred() {
                 known.counter = (!probes).then_some(TOP);
                 (known.fresh, known.recent) = (Tally::default(), Tally::default());
@@ -260,7 +262,7 @@
         let Some(known) = self.servers.get_mut(&server) else { return };
         let by = match finding {
             Finding::Passed(load) => {
-                known.load = load.unwrap_or(0.0);
+                known.load = load;
                 i32::from(now >= known.doubted_until)
             }
             Finding::TurnedAway => 0,
@@ -410,9 +412,9 @@
             let mut gates = self.gates.iter().filter(|gate| self.tables[gate.table].part == part);
             let shedding = gates.any(|gate| gate.level < 1.0);
             self.next_step = if shedding && step { now + settle } else { self.next_step };
-            if fresh.tries < 1.0 || fresh.failing() > SOUND {
-                let uneasy = &mut self.uneasy_until[part];
-                *uneasy = (*uneasy).max(now + self.terms.span("rules.warm_within_us").mul_f64(UNEASY));
+            let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
+            if shedding || !well || fresh.lateness(contract) > LATE {
+                self.uneasy_until[part] = now + self.terms.span("rules.warm_within_us").mul_f64(UNEASY);
             }
         }
     }
@@ -452,20 +454,20 @@
         known.part / self.row == table.part / self.row && table.allows(&known.listing)
     }
 
-    /// The tables of a part.
     fn lanes(&self, part: usize) -> Range<TableNumber> {
         part * self.each..(part + 1) * self.each
     }
 
-    /// How late the servers of each table are, by the part that each has in it.
     fn measure(&mut self) {
         let contract = self.contract();
         for table in &mut self.tables {
             let lines = table.lines.iter().map(|(server, weight)| (&self.servers[server], weight));
             let told = lines.filter(|(known, _)| known.recent.tries >= 1.0 && !known.withdrawn);
-            let late =
-                |(known, weight): (&Known, &f64)| (weight * known.late(contract).min(LATE_MOST), *weight);
-            let (sum, all) = told.map(late).fold((0.0, 1e-9), |(a, b), (c, d)| (a + c, b + d));
+            // Lateness of a server that tells that it is idle is not load: to refuse visits mends nothing.
+            let idle = |known: &Known| known.load.filter(|load| *load < IDLE).map(|load| load * LATE);
+            let late = |known: &Known| known.late(contract).min(idle(known).unwrap_or(LATE_MOST));
+            let part = |(known, weight): (&Known, &f64)| (weight * late(known), *weight);
+            let (sum, all) = told.map(part).fold((0.0, 1e-9), |(a, b), (c, d)| (a + c, b + d));
             table.late = sum / all;
         }
     }
@@ -490,8 +492,7 @@
         self.steps = steps.into();
     }
 
-    /// Proxies come onto the tables of a part once they are released, those with most visits first. Each
-    /// goes to the part that has the least, so that all parts carry alike.
+    /// Proxies come onto released tables, those with most visits first, each in the part that has least.
     fn bindings(&mut self) -> Vec<Step> {
         let (mut steps, mut carried) = (Vec::new(), self.channel.carried(self.parts));
         let mut room = vec![1e-9; self.parts];
@@ -596,7 +597,6 @@
         ranked.into_iter().map(|(_, step)| step).collect()
     }
 
-    /// Sends one step, if the budget allows it.
     fn take(&mut self, now: Duration, part: f64, order: Order) -> Option<Decision> {
         match order {
             Order::Withdraw(server, withdrawn) => {
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -287,3 +287,12 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// Loss of visits refused for nothing: answers are late though the servers tell that they are idle.
+#[test]
+fn lateness_of_idle_servers_closes_nothing() {
+    let mut stage = Stage::new(3);
+    stage.health.fill(Finding::Passed(Some(0.3)));
+    let trace = stage.join(0).report_to(8000, &[WELL; 3]).quiet().report_to(14_000, &[(20, 0, 900); 3]);
+    expect![""].assert_eq(&trace.said(&["admit"]));
+}
