Try no second time at a table that refuses

Second tries after proof now go only where all of a class is let in. Holds against any jam; hurts where a few servers refuse while a class is shed for other reasons.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -620,7 +620,7 @@
                     let text = format!("{}: {share:.0}% in, late by {late:.1} contract times", gate.name);
                     self.ready.push_back(Decision::Note { about: None, text });
                 }
-                Some(Decision::Admit { table, class, share, second_try: true })
+                Some(Decision::Admit { table, class, share, second_try: share >= 1.0 })
             }
             Order::Bind(index, proxy) => {
                 let table = &self.tables[index];
--- a/tests/pilot/design.rs
+++ b/tests/pilot/design.rs
@@ -31,8 +31,8 @@
     stage.health[1] = Finding::Failed;
     let trace = stage.join(0).join(1).run_to(5200).said(&[""]);
     expect![[r#"
-        5.0 class 1: admit 1
-        5.0 class 0: admit 1
+        5.0 class 1: admit 1 twice
+        5.0 class 0: admit 1 twice
         5.0 table 0: server 0 1
         5.0 table 0: bind proxy 0
         5.0 table 0: bind proxy 1
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -106,8 +106,8 @@
         12.0 class 0: admit 0.4
         16.0 class 1: admit 0.8
         16.0 class 0: admit 0.8
-        18.0 class 1: admit 1
-        18.0 class 0: admit 1
+        18.0 class 1: admit 1 twice
+        18.0 class 0: admit 1 twice
     "#]]
     .assert_eq(&trace);
 }
--- a/tests/pilot/stage.rs
+++ b/tests/pilot/stage.rs
@@ -91,8 +91,8 @@
                 }
                 Decision::Bind { table, proxy, .. } => format!("table {table}: bind proxy {proxy}"),
                 Decision::Withdraw { server, withdrawn } => format!("withdraw {server} {withdrawn}"),
-                Decision::Admit { class, share, .. } => {
-                    format!("class {class}: admit {share}")
+                Decision::Admit { class, share, second_try, .. } => {
+                    format!("class {class}: admit {share}{}", if *second_try { " twice" } else { "" })
                 }
                 Decision::Note { about: Some(server), text } => format!("# {server} {text}"),
                 Decision::Note { about: None, text } => format!("# {text}"),
