Ask each server whether it is kept out instead of building a set for every plan and join

The set of kept-out servers was built anew for every join and three times a plan; it is a question to one server now, as is holding to the tables. The stated cold share is read once a table instead of once a server and weight, whether proxies hold tables of before is asked in one place, and the wire test lost a branch for a tag that no case begins with.

--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -134,11 +134,7 @@
         "#]],
         ),
     ] {
-        let full = if lines.starts_with("CLOCK") || lines.starts_with("HELLO") {
-            lines.into()
-        } else {
-            format!("{born}{lines}")
-        };
+        let full = if lines.starts_with("CLOCK") { lines.into() } else { format!("{born}{lines}") };
         play(&full, expected);
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -92,11 +92,8 @@
 
 impl Known {
     fn late(&self, contract: f64) -> f64 {
-        self.recent.lateness(contract).max(if self.load.is_some_and(|load| load > BUSY) {
-            WORSE * LATE
-        } else {
-            0.0
-        })
+        let busy = self.load.is_some_and(|load| load > BUSY);
+        self.recent.lateness(contract).max(if busy { WORSE * LATE } else { 0.0 })
     }
 
     fn up(&self) -> bool {
@@ -112,11 +109,17 @@
         };
     }
 
+    /// Whether proxies must not send to it, whatever tables they hold. While some hold tables of before,
+    /// a cold server would get all of its weight there: the hold keeps it out.
+    fn kept_out(&self, now: Duration, holding: bool) -> bool {
+        self.barred() || holding && self.cold(now)
+    }
+
     /// The share of its work that it can surely do, growing evenly from the cold share.
-    fn warmth(&self, now: Duration, terms: &Terms) -> f64 {
+    fn warmth(&self, now: Duration, cold_share: f64) -> f64 {
         let left = self.warm_at.saturating_sub(now).as_secs_f64();
         let all = (self.warm_at - self.started).as_secs_f64().max(1e-6);
-        1.0 - (1.0 - terms.number("rules.cold_share").unwrap_or(1.0)) * left / all
+        1.0 - (1.0 - cold_share) * left / all
     }
 }
 
@@ -295,9 +298,9 @@
         let part = (self.parts == 1).then_some(0);
         self.channel.join(proxy, Joined { zone, rate, fresh, part, ..Joined::default() });
         // Withdrawals that went out before have not reached it.
-        let kept_out = self.kept_out(now);
-        for (server, known) in &mut self.servers {
-            known.withdrawn &= !kept_out.contains(server);
+        let holding = self.holding();
+        for known in self.servers.values_mut() {
+            known.withdrawn &= !known.kept_out(now, holding);
         }
     }
 
@@ -315,8 +318,7 @@
             self.plan(now);
         }
         while let Some(Step(part, order)) = self.steps.pop_front() {
-            if matches!(order, Order::Withdraw(_, true)) && self.channel.count(Whom::Unbound(self.each)) == 0
-            {
+            if matches!(order, Order::Withdraw(_, true)) && self.unbound() == 0 {
                 continue;
             }
             let taken = self.take(now, part, order);
@@ -521,7 +523,7 @@
         // cannot be named: the hold gives way, so that all are on these tables within the grace.
         let grace = self.terms.time("rules.drain_grace_us").filter(|_| self.outdated);
         let most = grace.map_or(HOLD_MOST, |grace| HOLD_MOST.min(grace.mul_f64(GIVE_WAY)));
-        let kept_out = self.kept_out(now).len();
+        let kept_out = self.servers.values().filter(|known| known.kept_out(now, true)).count();
         for index in 0..self.tables.len() {
             let table = &self.tables[index];
             let mut serving = self.servers.values().filter(|known| self.beside(table, known));
@@ -541,25 +543,25 @@
         }
     }
 
-    /// Servers that proxies must not send to, whatever tables they hold. While some hold tables of
-    /// before, a cold server would get all of its weight there: the hold keeps it out.
-    fn kept_out(&self, now: Duration) -> BTreeSet<Server> {
-        let holding = self.tables.iter().any(|table| !table.released);
-        let out = |known: &Known| known.barred() || holding && known.cold(now);
-        self.servers.iter().filter(|(_, known)| out(known)).map(|(server, _)| *server).collect()
+    fn holding(&self) -> bool {
+        self.tables.iter().any(|table| !table.released)
     }
 
     fn gates_of(&self, table: TableNumber) -> impl Iterator<Item = &Gate> {
         self.gates.iter().filter(move |gate| gate.table == table)
     }
 
+    /// Proxies that still hold tables of before.
+    fn unbound(&self) -> usize {
+        self.channel.count(Whom::Unbound(self.each))
+    }
+
     /// Servers that are kept out leave the tables of before, hold or not: no proxy may send there past
     /// the grace. One that returns comes back at its cold share, never at the weight it left with.
     fn withdrawals(&self, now: Duration) -> Vec<Step> {
-        let (kept_out, unbound) = (self.kept_out(now), self.channel.count(Whom::Unbound(self.each)) > 0);
-        let more = |server: &Server, table: &Table| table.held(*server) > table.wants(*server);
-        let held = |server: &Server| self.tables.iter().any(|table| more(server, table));
-        let due = self.servers.iter().filter(|(server, known)| match kept_out.contains(server) {
+        let (holding, unbound) = (self.holding(), self.unbound() > 0);
+        let held = |server: &Server| self.tables.iter().any(|t| t.held(*server) > t.wants(*server));
+        let due = self.servers.iter().filter(|(server, known)| match known.kept_out(now, holding) {
             true => !known.withdrawn && unbound,
             false => known.withdrawn && !unbound && !held(server),
         });
@@ -646,9 +648,10 @@
     fn desired(&self, now: Duration, index: TableNumber) -> BTreeMap<Server, f64> {
         let table = &self.tables[index];
         // A cold server gets nothing while the fleet is uneasy or a probe of its own fails.
-        let (uneasy, terms) = (now < self.uneasy_until[table.part], &self.terms);
+        let uneasy = now < self.uneasy_until[table.part];
+        let share = self.terms.number("rules.cold_share").unwrap_or(1.0);
         let safe = |known: &Known| !uneasy && known.counter.unwrap_or(TOP) == TOP;
-        let listed = |known: &Known, part: f64| known.listing.weight * grid(known.warmth(now, terms) * part);
+        let listed = |known: &Known, part: f64| known.listing.weight * grid(known.warmth(now, share) * part);
         let carries = |known: &Known| !known.cold(now) || safe(known);
         let own = &self.tables[self.lanes(table.part)];
         let needed = |known: &Known| own.iter().any(|t| t.narrow() && t.allows(&known.listing));
@@ -657,15 +660,14 @@
         let full = |known: &Known| listed(known, part(known));
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
-        let usable = |known: &Known| !known.barred();
         let here = self.servers.iter().filter(|(_, known)| self.beside(table, known));
         let members: Vec<(&Server, &Known)> = here.collect();
-        let good = || members.iter().filter(|(_, known)| usable(known) && full(known) > 0.0);
+        let good = || members.iter().filter(|(_, known)| !known.barred() && full(known) > 0.0);
         let any_up = good().any(|(_, known)| up(known));
         let laid = self.channel.count(Whom::On(index)) > 0;
         let any_held = laid && good().any(|(server, _)| table.held(**server) > 0.0);
         let weight = |server: &Server, known: &Known| match (any_up, any_held) {
-            _ if !usable(known) => 0.0,
+            _ if known.barred() => 0.0,
             (true, _) if up(known) => full(known),
             (true, _) => 0.0,
             // All look down: the last table stays, but for what is cold now.
