Lay out the workspace: names, terms from XML by a schema, codec of the runtime API

Cause: the users want the program round the module. Change: crates naming (names to indices, once, now used by simhost), terms (XML checked by lockcroft.xsd with a kept validator, faults with file, line, element, what is allowed), runtime (lines, sessions, answers, sheets, sockets). The module takes one more input, the lines that really wait, so that a stalled relay is seen by its budget; hosts that never tell it decide as before.

--- /dev/null
+++ b/crates/naming/src/lib.rs
@@ -0,0 +1,77 @@
+//! Names to the small indices that decisions are made on, and back. Every host of a pilot, the
+//! simulator's and the daemon alike, gives out indices here and nowhere else.
+
+use std::collections::BTreeMap;
+
+use lockcroft::{Class, Kind, Terms, Zone};
+
+/// Names in the order in which they were first met; an index, once given, stays.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    names: Vec<String>,
+    indices: BTreeMap<String, usize>,
+}
+
+impl Names {
+    /// The index of a name, a new one if it was not met before.
+    pub fn index(&mut self, name: &str) -> usize {
+        if let Some(index) = self.indices.get(name) {
+            return *index;
+        }
+        self.names.push(name.to_string());
+        self.indices.insert(name.to_string(), self.names.len() - 1);
+        self.names.len() - 1
+    }
+
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.indices.get(name).copied()
+    }
+
+    /// The name behind an index that was given out here.
+    pub fn name(&self, index: usize) -> &str {
+        &self.names[index]
+    }
+
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+/// The zones, kinds and classes that the terms state, each an index in the order stated.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub classes: Vec<String>,
+}
+
+impl Places {
+    pub fn read(terms: &Terms) -> Self {
+        let texts = |list: &str| terms.texts(list).into_iter().map(String::from).collect();
+        let classes = (0..terms.count("classes")).map_while(|i| terms.text(&format!("classes.{i}.name")));
+        let classes = classes.map(String::from).collect();
+        Places { zones: texts("zones"), kinds: texts("kinds"), classes }
+    }
+
+    /// # Errors
+    /// Names the word that the terms do not state; so do the two below.
+    pub fn zone(&self, name: &str) -> Result<Zone, String> {
+        position(&self.zones, "zone", name)
+    }
+
+    pub fn kind(&self, name: &str) -> Result<Kind, String> {
+        position(&self.kinds, "kind", name)
+    }
+
+    pub fn class(&self, name: &str) -> Result<Class, String> {
+        position(&self.classes, "class", name)
+    }
+}
+
+fn position(names: &[String], what: &str, name: &str) -> Result<usize, String> {
+    names.iter().position(|known| known == name).ok_or_else(|| format!("unknown {what} {name:?}"))
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/runtime/src/feed.rs
@@ -0,0 +1,86 @@
+//! Bytes as they come off a socket, in pieces of any size, to lines of commands.
+
+use bytes::{Buf, BytesMut};
+
+use crate::words::{Command, split};
+
+/// A line, and a payload, may be so long; the guide's `tune.bufsize`.
+pub const LINE_MOST: usize = 16_384;
+
+/// A line that has no end within [`LINE_MOST`] bytes: the stream can't be followed any further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Overlong;
+
+/// Collects bytes, gives out whole lines.
+#[derive(Default)]
+pub struct Feed {
+    buffer: BytesMut,
+    /// What was looked through already without an end of line.
+    seen: usize,
+    /// A line whose payload is still coming, and the line that ends it.
+    open: Option<(Vec<Command>, String, String)>,
+}
+
+impl Feed {
+    /// Where to read into.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The commands of the next whole line with its payload; `None` until there is one.
+    ///
+    /// # Errors
+    /// [`Overlong`], for good.
+    pub fn next_line(&mut self) -> Result<Option<Vec<Command>>, Overlong> {
+        while let Some(line) = self.raw_line()? {
+            let Some((mut commands, mut payload, end)) = self.open.take() else {
+                let mut commands = split(&line);
+                match opens_payload(&mut commands) {
+                    Some(end) => self.open = Some((commands, String::new(), end)),
+                    None => return Ok(Some(commands)),
+                }
+                continue;
+            };
+            if line == end {
+                if let Some(last) = commands.last_mut() {
+                    last.payload = Some(payload);
+                }
+                return Ok(Some(commands));
+            }
+            if payload.len() + line.len() >= LINE_MOST {
+                return Err(Overlong);
+            }
+            payload.push_str(&line);
+            payload.push('\n');
+            self.open = Some((commands, payload, end));
+        }
+        Ok(None)
+    }
+
+    fn raw_line(&mut self) -> Result<Option<String>, Overlong> {
+        let end = self.buffer[self.seen..].iter().position(|byte| *byte == b'\n');
+        let Some(end) = end.map(|end| end + self.seen) else {
+            self.seen = self.buffer.len();
+            return if self.seen > LINE_MOST { Err(Overlong) } else { Ok(None) };
+        };
+        if end > LINE_MOST {
+            return Err(Overlong);
+        }
+        let line = String::from_utf8_lossy(&self.buffer[..end]).trim_end_matches('\r').to_string();
+        self.buffer.advance(end + 1);
+        self.seen = 0;
+        Ok(Some(line))
+    }
+}
+
+/// A last word `<<` asks for a payload up to an empty line, `<<END` for one up to the line `END`.
+fn opens_payload(commands: &mut [Command]) -> Option<String> {
+    let last = commands.last_mut()?;
+    let end = last.words.last()?.strip_prefix("<<")?.to_string();
+    last.words.pop();
+    Some(end)
+}
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lockcroft::{Decision, Finding, Listed, Listing, Pilot};
+use lockcroft_naming::{Names, Places};
 
 use crate::codec::Line;
 use crate::terms;
@@ -18,31 +19,12 @@
     /// When the earliest timer still out comes due.
     timer: Option<Duration>,
     servers: Names,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    classes: Vec<String>,
+    places: Places,
     /// Set where the instance has failed, or this host has nothing to offer: a line with this tag says
     /// so once, then the instance stays idle.
     idle: Option<(&'static str, String)>,
 }
 
-#[derive(Default)]
-struct Names {
-    names: Vec<String>,
-    indices: BTreeMap<String, usize>,
-}
-
-impl Names {
-    fn index(&mut self, name: &str) -> usize {
-        if let Some(index) = self.indices.get(name) {
-            return *index;
-        }
-        self.names.push(name.to_string());
-        self.indices.insert(name.to_string(), self.names.len() - 1);
-        self.names.len() - 1
-    }
-}
-
 type Done = Result<(), String>;
 
 #[derive(Default)]
@@ -198,9 +180,7 @@
             "PROXY_STATS" => {
                 line.number::<u64>("unanswered")?;
                 line.time("period")?;
-                let class = line.word("class")?;
-                let class =
-                    position(&instance.classes, class).ok_or_else(|| format!("unknown class {class:?}"))?;
+                let class = instance.places.class(line.word("class")?)?;
                 let proxy = line.number("proxy")?;
                 let visits = line.number("visits")?;
                 instance.guard(|pilot| pilot.counted(proxy, class, visits));
@@ -223,8 +203,7 @@
                 let fresh = line.flag("fresh")?;
                 let proxy = line.number("proxy")?;
                 let rate = line.amount("rate")?;
-                let zone = line.word("zone")?;
-                let zone = position(&instance.zones, zone).ok_or_else(|| format!("unknown zone {zone:?}"))?;
+                let zone = instance.places.zone(line.word("zone")?)?;
                 instance.guard(|pilot| pilot.joined(now, proxy, zone, rate, fresh));
             }
             "DETACHED" => {
@@ -309,16 +288,11 @@
 impl Instance {
     fn new(seed: u64, settings: &str, clock: Duration) -> Result<Self, String> {
         let terms = terms::read(settings)?;
-        let texts = |list: &str| terms.texts(list).into_iter().map(String::from).collect();
-        let classes = (0..terms.count("classes")).map_while(|i| terms.text(&format!("classes.{i}.name")));
-        let classes = classes.map(String::from).collect();
         let slices = terms.number("fleet.slices").unwrap_or(0.0) > 0.0;
         let idle = "the keys are in slices, for which lockcroft lays no tables yet: idle";
         let idle = slices.then(|| ("NOTE_DOWN", idle.to_string()));
         Ok(Instance {
-            zones: texts("zones"),
-            kinds: texts("kinds"),
-            classes,
+            places: Places::read(&terms),
             born: clock,
             timer: None,
             servers: Names::default(),
@@ -329,10 +303,8 @@
 
     fn entry(&mut self, line: &mut Line, clock: Duration) -> Result<Listing, String> {
         let server = self.servers.index(line.word("server")?);
-        let zone = line.word("zone")?;
-        let zone = position(&self.zones, zone).ok_or_else(|| format!("unknown zone {zone:?}"))?;
-        let kind = line.word("kind")?;
-        let kind = position(&self.kinds, kind).ok_or_else(|| format!("unknown kind {kind:?}"))?;
+        let zone = self.places.zone(line.word("zone")?)?;
+        let kind = self.places.kind(line.word("kind")?)?;
         line.number::<i64>("cell")?;
         let state = match line.word("state")? {
             "U" => Listed::Ready,
@@ -382,7 +354,7 @@
     }
 
     fn encode(&self, number: u32, decision: Decision, reply: &mut String) {
-        let name = |server: usize| &self.servers.names[server];
+        let name = |server: usize| self.servers.name(server);
         match decision {
             Decision::Probe(server) => line(reply, format_args!("POLL {number} {}", name(server))),
             Decision::Weigh { table, server, weight } => {
@@ -414,7 +386,3 @@
     // Writing to a String cannot fail.
     let _ = writeln!(reply, "{text}");
 }
-
-fn position(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|known| known == name)
-}
--- /dev/null
+++ b/crates/terms/src/post.rs
@@ -0,0 +1,269 @@
+//! Everything that one pilot is told at its start.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use lockcroft::{Term, Terms, Zone};
+use lockcroft_naming::Places;
+use lockcroft_runtime::{Address, Level};
+use roxmltree::Node;
+
+use crate::document::{Document, Fault, Faults};
+use crate::roster::Roster;
+use crate::values::span;
+
+/// A pilot's post: the terms its decisions read, and where its sockets stand.
+#[derive(Clone, Debug)]
+pub struct Post {
+    pub file: PathBuf,
+    pub name: String,
+    pub seed: u64,
+    /// Under the names that the decisions read, times in microseconds.
+    pub terms: Terms,
+    pub places: Places,
+    pub doors: Vec<Door>,
+    pub proxies: Vec<ProxyAt>,
+    pub roster: RosterAt,
+    pub log: LogTerms,
+    /// A command that a proxy leaves unanswered for so long breaks its stream.
+    pub answer_within: Duration,
+    /// The first wait before a broken stream is dialled anew, and the longest.
+    pub redial: [Duration; 2],
+}
+
+/// A socket of the pilot's own runtime API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Door {
+    pub address: Address,
+    pub level: Level,
+}
+
+/// A proxy that the pilot steers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProxyAt {
+    pub name: String,
+    pub zone: Zone,
+    pub address: Address,
+    /// Visits a second that it usually has.
+    pub rate: f64,
+}
+
+/// Where the list of servers comes from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RosterAt {
+    /// A file, looked at anew this often.
+    File(PathBuf, Duration),
+    Here(Roster),
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LogTerms {
+    pub json: bool,
+    /// Levels by target, as `info,lockcroft_pilot=debug`.
+    pub levels: Option<String>,
+}
+
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+const REDIAL: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(5)];
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+impl Post {
+    /// Reads and checks a settings file, and the roster file that it names.
+    ///
+    /// # Errors
+    /// All that is wrong with either file.
+    pub fn open(file: &Path) -> Result<Self, Faults> {
+        let document = Document::open(file, crate::SCHEMA)?;
+        let tree = document.tree();
+        let root = tree.root_element();
+        if !root.has_tag_name("lockcroft") {
+            let allowed = Some("the root element lockcroft");
+            return Err(Faults(vec![document.fault(root, "is no settings file", allowed)]));
+        }
+        let mut reader = Reader { document: &document, terms: Terms::default(), faults: Vec::new() };
+        let post = reader.post(root);
+        if reader.faults.is_empty() { Ok(post) } else { Err(Faults(reader.faults)) }
+    }
+
+    pub fn weight_most(&self) -> f64 {
+        weight_most(&self.terms)
+    }
+}
+
+fn weight_most(terms: &Terms) -> f64 {
+    terms.number("fleet.weight_most").unwrap_or(1.0)
+}
+
+struct Reader<'a> {
+    document: &'a Document,
+    terms: Terms,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn post(&mut self, root: Node) -> Post {
+        let part = |name: &'static str| root.children().find(|node| node.has_tag_name(name));
+        let pilot = part("pilot");
+        for list in ["zones", "kinds"] {
+            for (i, node) in members(part(list)).into_iter().enumerate() {
+                self.put(&format!("{list}.{i}"), Term::Text(text(node, "name")));
+            }
+            self.once(part(list));
+        }
+        self.once(part("classes"));
+        for (i, node) in members(part("classes")).into_iter().enumerate() {
+            self.attributes(&format!("classes.{i}"), node);
+            self.span_order(node, "contract-time", "patience");
+        }
+        for name in ["fleet", "rules", "allowed"] {
+            part(name).into_iter().for_each(|node| self.attributes(name, node));
+        }
+        self.terms.0.entry("allowed.probes".into()).or_insert(Term::Flag(true));
+        let proxies = members(part("proxies"));
+        // As many as are listed here times the pilots, unless it is stated.
+        let pilots = self.terms.number("fleet.pilots").unwrap_or(1.0);
+        self.put("pilots", Term::Number(pilots));
+        let count = Term::Number(proxies.len() as f64 * pilots.max(1.0));
+        self.terms.0.entry("fleet.proxies".into()).or_insert(count);
+        let places = Places::read(&self.terms);
+        self.once(part("proxies"));
+        let proxies = proxies.into_iter().filter_map(|node| self.proxy(node, &places)).collect();
+        let time = |name: &str| pilot.and_then(|node| node.attribute(name)).and_then(|t| span(t).ok());
+        let redial = [time("redial-least").unwrap_or(REDIAL[0]), time("redial-most").unwrap_or(REDIAL[1])];
+        Post {
+            file: self.document.file().into(),
+            name: pilot
+                .map_or_else(|| "pilot".into(), |node| node.attribute("name").unwrap_or("pilot").into()),
+            seed: pilot.and_then(|node| node.attribute("seed")?.parse().ok()).unwrap_or(0),
+            doors: self.doors(part("runtime")),
+            roster: self.roster(part("roster-file"), part("roster"), &places),
+            log: LogTerms {
+                json: part("log").and_then(|node| node.attribute("form")) == Some("json"),
+                levels: part("log").and_then(|node| node.attribute("levels")).map(String::from),
+            },
+            terms: std::mem::take(&mut self.terms),
+            places,
+            proxies,
+            answer_within: time("answer-within").unwrap_or(ANSWER_WITHIN),
+            redial,
+        }
+    }
+
+    fn put(&mut self, name: &str, term: Term) {
+        self.terms.0.insert(name.into(), term);
+    }
+
+    /// Attributes become terms by their own names; those that the schema calls times, in microseconds.
+    fn attributes(&mut self, prefix: &str, node: Node) {
+        for attribute in node.attributes() {
+            let name = format!("{prefix}.{}", attribute.name().replace('-', "_"));
+            let value = attribute.value();
+            let kind = self.document.attribute_type(node, attribute.name()).unwrap_or_default();
+            match kind.as_str() {
+                "time" => match span(value) {
+                    Ok(time) => self.put(&format!("{name}_us"), Term::Number(time.as_micros() as f64)),
+                    Err(wrong) => self.faults.push(self.document.fault(node, wrong, None)),
+                },
+                "amount" | "positive" | "share" | "count" => {
+                    self.put(&name, Term::Number(value.parse().unwrap_or(f64::NAN)));
+                }
+                "xs:boolean" => self.put(&name, Term::Flag(value == "true" || value == "1")),
+                "names" => {
+                    for (i, word) in value.split_whitespace().enumerate() {
+                        self.put(&format!("{name}.{i}"), Term::Text(word.into()));
+                        self.listed(node, attribute.name(), word);
+                    }
+                }
+                _ => self.put(&name, Term::Text(value.into())),
+            }
+        }
+    }
+
+    /// `only-zones` and `only-kinds` name what the lists of zones and kinds hold.
+    fn listed(&mut self, node: Node, attribute: &str, word: &str) {
+        let list = attribute.trim_start_matches("only-");
+        let known = self.terms.texts(list);
+        if !known.contains(&word) {
+            let (known, wrong) = (known.join(", "), format!("{attribute}: {word:?} is not listed"));
+            self.faults.push(self.document.fault(node, wrong, Some(&known)));
+        }
+    }
+
+    /// Each name stands once in its list.
+    fn once(&mut self, list: Option<Node>) {
+        let mut met = BTreeSet::new();
+        for node in members(list) {
+            let name = text(node, "name");
+            if !met.insert(name.clone()) {
+                let fault =
+                    self.document.fault(node, format!("{name} is listed twice"), Some("each name once"));
+                self.faults.push(fault);
+            }
+        }
+    }
+
+    fn span_order(&mut self, node: Node, low: &str, high: &str) {
+        let time = |name: &str| span(&text(node, name)).unwrap_or_default();
+        if time(low) > time(high) {
+            let wrong = format!("{low} {} is longer than {high} {}", text(node, low), text(node, high));
+            self.faults.push(self.document.fault(node, wrong, Some(&format!("{low} up to {high}"))));
+        }
+    }
+
+    fn proxy(&mut self, node: Node, places: &Places) -> Option<ProxyAt> {
+        let zones = places.zones.join(", ");
+        let zone = places.zone(&text(node, "zone"));
+        let zone = zone.map_err(|wrong| self.document.fault(node, wrong, Some(&zones)));
+        let address = text(node, "address").parse();
+        let address = address.map_err(|wrong: String| self.document.fault(node, wrong, None));
+        let rate = node.attribute("visits-per-s").map_or(1.0, |rate| rate.parse().unwrap_or(1.0));
+        match (zone, address) {
+            (Ok(zone), Ok(address)) => Some(ProxyAt { name: text(node, "name"), zone, address, rate }),
+            (zone, address) => {
+                self.faults.extend(zone.err().into_iter().chain(address.err()));
+                None
+            }
+        }
+    }
+
+    fn doors(&mut self, runtime: Option<Node>) -> Vec<Door> {
+        let mut doors = Vec::new();
+        for node in members(runtime) {
+            let level =
+                node.attribute("level").and_then(|level| level.parse().ok()).unwrap_or(Level::Operator);
+            match text(node, "address").parse() {
+                Ok(address) => doors.push(Door { address, level }),
+                Err(wrong) => self.faults.push(self.document.fault(node, wrong, None)),
+            }
+        }
+        doors
+    }
+
+    fn roster(&mut self, file: Option<Node>, here: Option<Node>, places: &Places) -> RosterAt {
+        let most = weight_most(&self.terms);
+        if let Some(node) = file {
+            let folder = self.document.file().parent().unwrap_or(Path::new("."));
+            let path = folder.join(text(node, "path"));
+            if let Err(faults) = Roster::open(&path, places, most) {
+                self.faults.extend(faults.0);
+            }
+            let every = node.attribute("look-every").and_then(|time| span(time).ok());
+            return RosterAt::File(path, every.unwrap_or(LOOK_EVERY));
+        }
+        let read = here.map(|node| Roster::read(self.document, node, places, most));
+        let read = read.transpose().unwrap_or_else(|faults| {
+            self.faults.extend(faults.0);
+            None
+        });
+        RosterAt::Here(read.unwrap_or_default())
+    }
+}
+
+fn members<'d, 'i>(list: Option<Node<'d, 'i>>) -> Vec<Node<'d, 'i>> {
+    list.into_iter().flat_map(|list| list.children().filter(Node::is_element)).collect()
+}
+
+fn text(node: Node, name: &str) -> String {
+    node.attribute(name).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/terms/src/roster.rs
@@ -0,0 +1,100 @@
+//! The list of servers as a file gives it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::SystemTime;
+
+use lockcroft::{Kind, Listed, Zone};
+use lockcroft_naming::Places;
+use roxmltree::Node;
+
+use crate::document::{Document, Fault, Faults};
+
+/// One server of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub zone: Zone,
+    pub kind: Kind,
+    pub address: SocketAddr,
+    pub state: Listed,
+    /// The listed weight, up to the terms' `weight-most`.
+    pub weight: f64,
+    /// When its process started; `None` if that was long ago.
+    pub started: Option<SystemTime>,
+}
+
+/// A whole list, at its version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Roster {
+    /// 0 is the first version: nothing was ever taken off it.
+    pub version: u64,
+    pub entries: Vec<Entry>,
+}
+
+impl Roster {
+    /// Reads a roster that stands in a file of its own.
+    ///
+    /// # Errors
+    /// All that is wrong with the file; nothing of it is used then.
+    pub fn open(file: &Path, places: &Places, weight_most: f64) -> Result<Self, Faults> {
+        let document = Document::open(file, crate::SCHEMA)?;
+        let tree = document.tree();
+        let root = tree.root_element();
+        if !root.has_tag_name("roster") {
+            return Err(Faults(vec![document.fault(root, "is no roster", Some("the root element roster"))]));
+        }
+        Roster::read(&document, root, places, weight_most)
+    }
+
+    pub(crate) fn read(
+        document: &Document,
+        root: Node,
+        places: &Places,
+        weight_most: f64,
+    ) -> Result<Self, Faults> {
+        let (mut entries, mut faults) = (Vec::new(), Vec::new());
+        let mut lines: BTreeMap<String, u32> = BTreeMap::new();
+        for node in root.children().filter(Node::is_element) {
+            match entry(document, node, places, weight_most) {
+                Err(fault) => faults.push(fault),
+                Ok(entry) => {
+                    let line = document.fault(node, "", None).line;
+                    if let Some(first) = lines.insert(entry.name.clone(), line) {
+                        let wrong = format!("server {} is listed in line {first} already", entry.name);
+                        faults.push(document.fault(node, wrong, Some("each name once")));
+                    }
+                    entries.push(entry);
+                }
+            }
+        }
+        let version = root.attribute("version").and_then(|version| version.parse().ok()).unwrap_or(0);
+        if faults.is_empty() { Ok(Roster { version, entries }) } else { Err(Faults(faults)) }
+    }
+}
+
+fn entry(document: &Document, node: Node, places: &Places, weight_most: f64) -> Result<Entry, Fault> {
+    let text = |name: &str| node.attribute(name).unwrap_or_default();
+    let zones = places.zones.join(", ");
+    let kinds = places.kinds.join(", ");
+    let zone = places.zone(text("zone")).map_err(|e| document.fault(node, e, Some(&zones)))?;
+    let kind = places.kind(text("kind")).map_err(|e| document.fault(node, e, Some(&kinds)))?;
+    let wrong = |_| document.fault(node, format!("{:?} is no address", text("address")), Some("IP:PORT"));
+    let address = text("address").parse().map_err(wrong)?;
+    let weight = node.attribute("weight").map_or(1.0, |weight| weight.parse().unwrap_or(1.0));
+    if weight > weight_most {
+        let most = format!("up to {weight_most}, the fleet's weight-most");
+        return Err(document.fault(node, format!("a weight of {weight}"), Some(&most)));
+    }
+    let state = match node.attribute("state") {
+        Some("draining") => Listed::Draining,
+        Some("gone") => Listed::Gone,
+        _ => Listed::Ready,
+    };
+    let started = node.attribute("started").map(humantime::parse_rfc3339).transpose();
+    let started = started.map_err(|e| {
+        document.fault(node, format!("started: {e}"), Some("a time in UTC such as 2026-12-01T08:30:00Z"))
+    })?;
+    Ok(Entry { name: text("name").into(), zone, kind, address, state, weight, started })
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -165,6 +165,8 @@
     on: BTreeMap<TableNumber, usize>,
     /// Lines that wait, as far as that is known, at a time.
     waiting: f64,
+    /// Lines that wait by the host's word, where it gives one.
+    pub queued: Option<f64>,
     as_of: Duration,
     /// Whom the orders of this time went to.
     begun: Vec<Whom>,
@@ -229,7 +231,7 @@
             self.begun.clear();
         }
         (self.waiting, self.as_of) = ((self.waiting - sent).max(0.0), now);
-        self.waiting
+        self.waiting.max(self.queued.unwrap_or(0.0))
     }
 
     /// How many messages an order of this time would begin, and how many the proxy among them with the
@@ -249,6 +251,7 @@
     pub fn send(&mut self, whom: Whom, cost: f64) {
         let now = self.as_of;
         self.waiting += cost;
+        self.queued = self.queued.map(|queued| queued + cost);
         if !self.begun.contains(&whom) {
             let new = reached(&mut self.proxies, whom).filter(|joined| joined.messages.back() != Some(&now));
             new.for_each(|joined| joined.messages.push_back(now));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,8 @@
 //! All decisions of lockcroft, with every table and tuned value.
 //!
 //! How it is called: the host makes one [`Pilot`] an instance and calls the method named for what
-//! became known (`listed`, `probed`, `reported`, `counted`, `joined`, `left`). These only update what
-//! is known. It then pulls `next_decision(now)` until there is none, and comes back at `next_due`.
+//! became known (`listed`, `probed`, `reported`, `counted`, `joined`, `left`, `queued`). These only
+//! update what is known. It then pulls `next_decision(now)` until there is none, and comes back at `next_due`.
 //! The types of the interface stand in `lib.rs`, what is read at the start in `terms.rs`,
 //! what is known and its sums in `ledger.rs`.
 //!
@@ -31,7 +31,7 @@
 const PROBE_STEADY: Duration = Duration::from_millis(1000);
 const PROBE_BETWEEN: Duration = Duration::from_millis(500);
 const PROBE_DOWN: Duration = Duration::from_millis(2000);
-const PROBE_WAIT: Duration = Duration::from_millis(500);
+pub const PROBE_WAIT: Duration = Duration::from_millis(500);
 const GATHER: Duration = Duration::from_millis(200);
 const RESEND: Duration = Duration::from_secs(5);
 const HOLD_LEAST: Duration = Duration::from_secs(5);
@@ -308,6 +308,11 @@
         self.channel.leave(proxy);
     }
 
+    /// So many lines really wait, where the host can tell: proxies that stall take none.
+    pub fn queued(&mut self, lines: usize) {
+        self.channel.queued = Some(lines as f64);
+    }
+
     pub fn next_due(&self) -> Duration {
         self.due.first().map_or(self.next_beat, |(time, _)| self.next_beat.min(*time))
     }
