--- /dev/null
+++ b/crates/fleet/src/helm.rs
@@ -0,0 +1,438 @@
+//! Hosts the decisions: inputs go in as calls, decisions are pulled until there is none, and what
+//! they ask for comes out as effects. Bookkeeping only.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use hdrhistogram::Histogram;
+use lockcroft::{Decision, Finding, Pilot, Proxy, Server, TableNumber};
+use lockcroft_naming::Places;
+use lockcroft_runtime::sheets::read_stat;
+use lockcroft_terms::{Post, Roster};
+use nanorand::WyRand;
+use tracing::{debug, info, warn};
+
+use crate::berth::{Asked, Berth, Stage};
+use crate::book::{Book, Desk};
+use crate::events::Events;
+use crate::list::{List, Word};
+use crate::published::{Published, Scale};
+use crate::reports::{Counters, Told};
+
+/// What the host is to carry out on its sockets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Call the server and tell [`Helm::probed`].
+    Probe {
+        server: Server,
+        address: SocketAddr,
+    },
+    /// Make a stream to the proxy after this wait, and tell [`Helm::connected`] or [`Helm::broken`].
+    Dial {
+        proxy: Proxy,
+        stream: u64,
+        after: Duration,
+    },
+    Write {
+        proxy: Proxy,
+        stream: u64,
+        text: String,
+    },
+    /// The stream is given up; nothing more is heard of it.
+    Close {
+        proxy: Proxy,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// Whether the oldest question of a stream was answered.
+    Patience(Proxy, u64),
+    Look(Proxy, u64),
+}
+
+/// Sums of what was met at a server since the start.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Met {
+    pub tries: u64,
+    pub failed: u64,
+    pub sum_ms: f64,
+}
+
+/// Counts for `show info`.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Sums {
+    pub decisions: u64,
+    pub messages: u64,
+    pub lines: u64,
+    pub probes: u64,
+    pub lines_waiting_most: usize,
+}
+
+pub struct Helm {
+    pub(crate) pilot: Pilot,
+    pub(crate) places: Places,
+    pub(crate) list: List,
+    pub(crate) published: Published,
+    pub(crate) berths: Vec<Berth>,
+    pub(crate) events: Events,
+    pub(crate) scale: Scale,
+    pub(crate) name: String,
+    pub(crate) now: Duration,
+    pub(crate) met: BTreeMap<Server, Met>,
+    pub(crate) visits: Vec<u64>,
+    pub(crate) sums: Sums,
+    /// Microseconds from a decision to the last answer to its message.
+    pub(crate) landed: Histogram<u64>,
+    pub(crate) queue_most: f64,
+    pub(crate) wave: u64,
+    touched: BTreeSet<Proxy>,
+    effects: VecDeque<Effect>,
+    /// The times that are not the decisions' own, in one order.
+    due: BTreeSet<(Duration, Timer)>,
+    chance: WyRand,
+    report_period: Duration,
+    answer_within: Duration,
+    redial: [Duration; 2],
+}
+
+impl Helm {
+    /// Takes up a post: all its proxies are dialled, spread over the first wait.
+    ///
+    /// # Panics
+    /// Never: the histogram's bounds are constants.
+    pub fn new(post: &Post) -> Self {
+        let berths: Vec<Berth> = post.proxies.iter().cloned().map(Berth::new).collect();
+        let dial = |proxy| Effect::Dial { proxy, stream: 0, after: Duration::ZERO };
+        Helm {
+            pilot: Pilot::new(post.terms.clone(), post.seed),
+            places: post.places.clone(),
+            list: List::default(),
+            published: Published::default(),
+            effects: (0..berths.len()).map(dial).collect(),
+            berths,
+            events: Events::default(),
+            scale: Scale { most: post.weight_most() },
+            name: post.name.clone(),
+            now: Duration::ZERO,
+            met: BTreeMap::new(),
+            visits: vec![0; post.places.classes.len()],
+            sums: Sums::default(),
+            landed: Histogram::new_with_bounds(1, 600_000_000, 2).expect("bounds are in order"),
+            queue_most: post.terms.limit("fleet.queue_most_lines"),
+            wave: 1,
+            touched: BTreeSet::new(),
+            due: BTreeSet::new(),
+            chance: WyRand::new_seed(post.seed),
+            report_period: post.terms.span("fleet.report_period_us").max(Duration::from_millis(100)),
+            answer_within: post.answer_within,
+            redial: post.redial,
+        }
+    }
+
+    /// The list of servers, read anew.
+    pub fn listed(&mut self, now: Duration, wall: SystemTime, roster: Roster) {
+        self.now = now;
+        info!(target: "lockcroft::input", wave = self.wave, version = roster.version,
+            servers = roster.entries.len(), "listed");
+        let text = format!("list at version {}, {} servers", roster.version, roster.entries.len());
+        self.events.add(now, self.wave, &text);
+        self.list.take(now, wall, roster);
+        self.tell_list(now);
+    }
+
+    fn tell_list(&mut self, now: Duration) {
+        let listings = self.list.listings(now);
+        self.pilot.listed(now, true, self.list.version, &listings);
+    }
+
+    /// An operator's word on a server of the list.
+    pub fn say(&mut self, server: Server, change: impl FnOnce(&mut Word)) {
+        self.list.say(server, change);
+        let (name, word) = (self.list.name(server).to_string(), self.list.word(server));
+        info!(target: "lockcroft::input", wave = self.wave, server = name, ?word, "operator");
+        self.events.add(self.now, self.wave, &format!("operator: {name}: {word:?}"));
+        self.tell_list(self.now);
+    }
+
+    /// How a probe ended, and how long it took.
+    pub fn probed(&mut self, now: Duration, server: Server, finding: Finding, took: Duration) {
+        self.now = now;
+        debug!(target: "lockcroft::input", wave = self.wave, server = self.list.name(server), ?finding,
+            ms = took.as_millis() as u64, "probed");
+        self.pilot.probed(now, server, finding, took);
+    }
+
+    /// A stream stands: the proxy is asked what it holds before anything is ordered.
+    pub fn connected(&mut self, now: Duration, proxy: Proxy, stream: u64) {
+        self.now = now;
+        if self.berths[proxy].stream != stream {
+            return;
+        }
+        let berth = &mut self.berths[proxy];
+        (berth.stage, berth.since) = (Stage::Asking, now);
+        for what in [Asked::Prompt, Asked::States, Asked::Map] {
+            berth.ask(what, now);
+        }
+        self.due.insert((now + self.answer_within, Timer::Patience(proxy, stream)));
+        let text = "prompt i\nshow servers state; show map classes\n".to_string();
+        self.effects.push_back(Effect::Write { proxy, stream, text });
+    }
+
+    /// A stream could not be made, or broke.
+    pub fn broken(&mut self, now: Duration, proxy: Proxy, stream: u64, why: &str) {
+        self.now = now;
+        if self.berths[proxy].stream != stream {
+            return;
+        }
+        let berth = &mut self.berths[proxy];
+        let (joined, changed) = (berth.stage == Stage::Joined, berth.why != why);
+        let after = berth.redial(now, self.redial, &mut self.chance);
+        berth.leave(now, why);
+        let name = &berth.at.name;
+        if joined || changed {
+            warn!(target: "lockcroft::input", wave = self.wave, proxy = name, why, "left");
+            self.events.add(now, self.wave, &format!("proxy {name} left: {why}"));
+        }
+        if joined {
+            self.pilot.left(proxy);
+        }
+        self.effects.push_back(Effect::Close { proxy });
+        self.effects.push_back(Effect::Dial { proxy, stream: self.berths[proxy].stream, after });
+    }
+
+    /// The answer to what was sent to the proxy longest ago.
+    pub fn answered(&mut self, now: Duration, proxy: Proxy, stream: u64, answer: &str) {
+        self.now = now;
+        if self.berths[proxy].stream != stream {
+            return;
+        }
+        if let Err(wrong) = self.take_answer(now, proxy, answer) {
+            self.broken(now, proxy, stream, &wrong);
+        }
+    }
+
+    fn take_answer(&mut self, now: Duration, proxy: Proxy, answer: &str) -> Result<(), String> {
+        let berth = &mut self.berths[proxy];
+        berth.last_answer = Some(now);
+        let (what, _) = berth.asked.pop_front().ok_or("an answer to nothing")?;
+        match what {
+            Asked::Prompt => {}
+            Asked::States => berth.take_states(answer)?,
+            Asked::Map => self.join(now, proxy, answer),
+            Asked::Order => {
+                if let Some(landed) = berth.book.answered(answer)? {
+                    let took = now.saturating_sub(landed.since);
+                    debug!(target: "lockcroft::answer", wave = landed.wave, proxy = berth.at.name,
+                        lines = landed.lines, us = took.as_micros() as u64, "answered");
+                    self.landed.saturating_record(took.as_micros() as u64);
+                    self.touched.insert(proxy);
+                }
+            }
+            Asked::Stat => {
+                let rows = read_stat(answer)?;
+                let told = berth.counters.take(&rows);
+                let stream = berth.stream;
+                self.due.insert((now + self.report_period, Timer::Look(proxy, stream)));
+                told.into_iter().for_each(|told| self.told(now, proxy, told));
+            }
+        }
+        Ok(())
+    }
+
+    fn join(&mut self, now: Duration, proxy: Proxy, map: &str) {
+        let berth = &mut self.berths[proxy];
+        let states = std::mem::take(&mut berth.states);
+        berth.book = Book::read(&states, map, &mut self.list, &self.places.classes);
+        berth.counters = Counters::default();
+        (berth.stage, berth.since) = (Stage::Joined, now);
+        let (fresh, stream) = (berth.book.fresh(), berth.stream);
+        info!(target: "lockcroft::input", wave = self.wave, proxy = berth.at.name, fresh, "joined");
+        self.events.add(now, self.wave, &format!("proxy {} joined, fresh: {fresh}", berth.at.name));
+        // Looks are spread over the period, so that the reports of a fleet come evenly.
+        let share = (proxy as f64 * 0.618_034).fract();
+        self.due.insert((now + self.report_period.mul_f64(share), Timer::Look(proxy, stream)));
+        for server in &self.published.withdrawn {
+            berth.book.withdraw(*server, now, self.wave);
+        }
+        self.touched.insert(proxy);
+        let (zone, rate) = (berth.at.zone, berth.at.rate);
+        self.pilot.joined(now, proxy, zone, rate, fresh);
+    }
+
+    fn told(&mut self, now: Duration, proxy: Proxy, told: Told) {
+        match told {
+            Told::Server { name, tries, failed, took } => {
+                let server = self.list.met(&name);
+                let met = self.met.entry(server).or_default();
+                met.tries += u64::from(tries);
+                met.failed += u64::from(failed);
+                met.sum_ms += took.as_secs_f64() * 1e3 * f64::from(tries - failed);
+                debug!(target: "lockcroft::input", wave = self.wave, proxy = self.berths[proxy].at.name,
+                    server = name, tries, failed, ms = took.as_millis() as u64, "reported");
+                self.pilot.reported(now, server, tries, failed, took);
+            }
+            Told::Class { name, visits } => {
+                if let Ok(class) = self.places.class(&name) {
+                    self.visits[class] += u64::from(visits);
+                    self.pilot.counted(proxy, class, visits);
+                }
+            }
+        }
+    }
+
+    /// When [`Helm::decide`] has to be called at the latest.
+    pub fn next_due(&self) -> Duration {
+        let own = self.due.first().map_or(Duration::MAX, |(time, _)| *time);
+        self.pilot.next_due().min(own)
+    }
+
+    /// Lines that wait for all proxies, or are on their way to one.
+    pub fn lines_waiting(&self) -> usize {
+        self.berths.iter().map(|berth| berth.book.lines()).sum()
+    }
+
+    /// Pulls decisions until there is none, and gives out what is to be done.
+    pub fn decide(&mut self, now: Duration) -> Vec<Effect> {
+        self.now = now;
+        self.pass_time(now);
+        self.pilot.queued(self.lines_waiting());
+        let before = self.sums.decisions;
+        while let Some(decision) = self.pilot.next_decision(now) {
+            self.sums.decisions += 1;
+            self.carry_out(now, decision);
+        }
+        self.sums.lines_waiting_most = self.sums.lines_waiting_most.max(self.lines_waiting());
+        self.send(now);
+        if self.sums.decisions > before {
+            self.wave += 1;
+        }
+        self.effects.drain(..).collect()
+    }
+
+    fn pass_time(&mut self, now: Duration) {
+        while let Some((time, timer)) = self.due.first().copied().filter(|(time, _)| *time <= now) {
+            self.due.remove(&(time, timer));
+            match timer {
+                Timer::Patience(proxy, stream) if self.berths[proxy].stream == stream => {
+                    let oldest = self.berths[proxy].asked.front().map(|(_, sent)| *sent);
+                    match oldest {
+                        Some(sent) if sent + self.answer_within <= now => {
+                            let why = "a command was left unanswered";
+                            self.broken(now, proxy, stream, why);
+                        }
+                        // Each question sets its own timer; a later one is already there.
+                        _ => {}
+                    }
+                }
+                Timer::Look(proxy, stream) if self.berths[proxy].stream == stream => {
+                    self.ask(now, proxy, Asked::Stat, "show stat\n".into(), 1);
+                }
+                Timer::Patience(..) | Timer::Look(..) => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Duration, proxy: Proxy, what: Asked, text: String, answers: usize) {
+        let berth = &mut self.berths[proxy];
+        (0..answers).for_each(|_| berth.ask(what, now));
+        let stream = berth.stream;
+        self.due.insert((now + self.answer_within, Timer::Patience(proxy, stream)));
+        self.effects.push_back(Effect::Write { proxy, stream, text });
+    }
+
+    fn carry_out(&mut self, now: Duration, decision: Decision) {
+        let wave = self.wave;
+        match decision {
+            Decision::Probe(server) => {
+                self.sums.probes += 1;
+                if let Some(address) = self.list.address(server) {
+                    self.effects.push_back(Effect::Probe { server, address });
+                }
+            }
+            Decision::Weigh { table, server, weight } => {
+                let lines = &mut self.published.tables.entry(table).or_default().lines;
+                if weight > 0.0 {
+                    lines.insert(server, weight)
+                } else {
+                    lines.remove(&server)
+                };
+                self.say_decided(now, &format!("t{table}: {} weighs {weight}", self.list.name(server)));
+                self.each(|_, book| book.weigh(table, server, now, wave));
+            }
+            Decision::Bind { table, classes, proxy } => {
+                self.say_decided(now, &format!("t{table}: bind proxy {}", self.berths[proxy].at.name));
+                let Berth { stage, book, .. } = &mut self.berths[proxy];
+                if *stage == Stage::Joined {
+                    book.bind(table, &classes, &self.published, now, wave);
+                    self.touched.insert(proxy);
+                }
+            }
+            Decision::Withdraw { server, withdrawn } => {
+                let set = &mut self.published.withdrawn;
+                if withdrawn {
+                    set.insert(server)
+                } else {
+                    set.remove(&server)
+                };
+                self.say_decided(now, &format!("withdraw {}: {withdrawn}", self.list.name(server)));
+                self.each(|_, book| book.withdraw(server, now, wave));
+            }
+            Decision::Admit { table, class, share, second_try } => {
+                let sheet = self.published.tables.entry(table).or_default();
+                sheet.levels.insert(class, (share, second_try));
+                let name = &self.places.classes[class];
+                let again = if second_try { ", second tries" } else { "" };
+                self.say_decided(now, &format!("t{table}: {name} let in {share}{again}"));
+                self.each(|_, book| book.admit(table, class, now, wave));
+            }
+            Decision::Note { about, text } => {
+                let text = about.map_or(text.clone(), |server| format!("{} {text}", self.list.name(server)));
+                info!(target: "lockcroft::note", wave, "{text}");
+                self.events.add(now, wave, &format!("note: {text}"));
+            }
+        }
+    }
+
+    fn say_decided(&mut self, now: Duration, text: &str) {
+        debug!(target: "lockcroft::decision", wave = self.wave, "{text}");
+        self.events.add(now, self.wave, text);
+    }
+
+    fn each(&mut self, mut act: impl FnMut(Proxy, &mut Book)) {
+        for (proxy, berth) in self.berths.iter_mut().enumerate() {
+            if berth.stage == Stage::Joined {
+                act(proxy, &mut berth.book);
+                self.touched.insert(proxy);
+            }
+        }
+    }
+
+    /// All that was decided at one time goes out as one message to each proxy concerned; one that
+    /// has not answered its last message gets the next with its answer.
+    fn send(&mut self, now: Duration) {
+        for proxy in std::mem::take(&mut self.touched) {
+            let Berth { stage, book, .. } = &mut self.berths[proxy];
+            let desk = Desk {
+                published: &self.published,
+                list: &self.list,
+                classes: &self.places.classes,
+                scale: self.scale,
+            };
+            let message = if *stage == Stage::Joined { book.message(&desk) } else { None };
+            let Some(message) = message else { continue };
+            self.sums.messages += 1;
+            self.sums.lines += message.lines as u64;
+            debug!(target: "lockcroft::order", wave = message.wave, proxy = self.berths[proxy].at.name,
+                lines = message.lines, commands = message.commands, "sent");
+            self.ask(now, proxy, Asked::Order, message.text, message.commands);
+        }
+    }
+
+    /// Proxies whose streams stand, by table.
+    pub fn joined_on(&self, table: TableNumber) -> usize {
+        let joined = self.berths.iter().filter(|berth| berth.stage == Stage::Joined);
+        joined.filter(|berth| berth.book.on(table)).count()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/list.rs
@@ -0,0 +1,107 @@
+//! The list of servers: what the file says, and what an operator said on top of it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use lockcroft::{Listed, Listing, Server};
+use lockcroft_naming::Names;
+use lockcroft_terms::{Entry, Roster};
+
+/// An operator's word on one server; it holds until the opposite word, whatever the file says later.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Word {
+    pub drains: bool,
+    /// In place of the listed weight.
+    pub weight: Option<f64>,
+}
+
+/// One server as the file lists it, its start on the pilot's own clock.
+struct Line {
+    entry: Entry,
+    /// The age at the time when this start was first heard of, and that time.
+    age: Option<(Duration, Duration)>,
+}
+
+/// Servers by index; an index stays with its name, also when the server is off the list.
+#[derive(Default)]
+pub struct List {
+    names: Names,
+    lines: BTreeMap<Server, Line>,
+    words: BTreeMap<Server, Word>,
+    pub version: u64,
+}
+
+impl List {
+    /// Takes a whole list. A start that was known keeps its age on the pilot's clock, so that two
+    /// readings of one file never look like two starts.
+    pub fn take(&mut self, now: Duration, wall: SystemTime, roster: Roster) {
+        let mut old = std::mem::take(&mut self.lines);
+        self.version = roster.version;
+        for entry in roster.entries {
+            let server = self.names.index(&entry.name);
+            let known = old.remove(&server).filter(|line| line.entry.started == entry.started);
+            let age = match known {
+                Some(line) => line.age,
+                None => entry.started.map(|at| (wall.duration_since(at).unwrap_or_default(), now)),
+            };
+            self.lines.insert(server, Line { entry, age });
+        }
+    }
+
+    /// What the decisions are told: every server of the list, with the operator's words.
+    pub fn listings(&self, now: Duration) -> Vec<Listing> {
+        self.lines.iter().map(|(server, line)| self.listing(now, *server, line)).collect()
+    }
+
+    fn listing(&self, now: Duration, server: Server, line: &Line) -> Listing {
+        let word = self.words.get(&server).copied().unwrap_or_default();
+        let state = match line.entry.state {
+            Listed::Ready if word.drains => Listed::Draining,
+            state => state,
+        };
+        let weight = word.weight.unwrap_or(line.entry.weight);
+        let age = line.age.map(|(age, seen)| age + (now - seen));
+        Listing { server, zone: line.entry.zone, kind: line.entry.kind, state, weight, age }
+    }
+
+    /// Changes an operator's word.
+    pub fn say(&mut self, server: Server, change: impl FnOnce(&mut Word)) {
+        let word = self.words.entry(server).or_default();
+        change(word);
+        if *word == Word::default() {
+            self.words.remove(&server);
+        }
+    }
+
+    pub fn word(&self, server: Server) -> Word {
+        self.words.get(&server).copied().unwrap_or_default()
+    }
+
+    /// The index of a name met at a proxy; such a server need not be on the list.
+    pub fn met(&mut self, name: &str) -> Server {
+        self.names.index(name)
+    }
+
+    /// The index of a server of the list.
+    pub fn find(&self, name: &str) -> Option<Server> {
+        self.names.find(name).filter(|server| self.lines.contains_key(server))
+    }
+
+    pub fn name(&self, server: Server) -> &str {
+        self.names.name(server)
+    }
+
+    pub fn address(&self, server: Server) -> Option<SocketAddr> {
+        self.lines.get(&server).map(|line| line.entry.address)
+    }
+
+    /// The weight that the file gives a server.
+    pub fn listed_weight(&self, server: Server) -> Option<f64> {
+        self.lines.get(&server).map(|line| line.entry.weight)
+    }
+
+    pub fn servers(&self) -> impl Iterator<Item = Server> + '_ {
+        self.lines.keys().copied()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/views.rs
@@ -0,0 +1,255 @@
+//! What a pilot shows to those who ask: sheets in the guide's form where it has one.
+
+use std::fmt::Write;
+
+use lockcroft::{Known, Listed, Server, TableNumber};
+use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StatRow, StateRow, write_stat, write_states};
+
+use crate::berth::Stage;
+use crate::helm::Helm;
+
+// Writing to a String cannot fail, so what `writeln` gives back is passed over below.
+impl Helm {
+    /// `Name: value` lines, as the guide's `show info`.
+    pub fn show_info(&self) -> String {
+        let joined = self.berths.iter().filter(|berth| berth.stage == Stage::Joined).count();
+        let (servers, tables, _) = self.pilot.beliefs();
+        let held = tables.iter().filter(|table| !table.released).count();
+        let up = servers.values().filter(|known| known.counter.is_some_and(|counter| counter > 1)).count();
+        let micros = |quantile: f64| self.landed.value_at_quantile(quantile) as f64 / 1e3;
+        let lines = [
+            ("Name", "lockcroft".to_string()),
+            ("Version", env!("CARGO_PKG_VERSION").into()),
+            ("Pilot", self.name.clone()),
+            ("Pid", std::process::id().to_string()),
+            ("Uptime_sec", self.now.as_secs().to_string()),
+            ("Servers", servers.len().to_string()),
+            ("ServersUp", up.to_string()),
+            ("ListVersion", self.list.version.to_string()),
+            ("Proxies", self.berths.len().to_string()),
+            ("ProxiesJoined", joined.to_string()),
+            ("Tables", tables.len().to_string()),
+            ("TablesHeld", held.to_string()),
+            ("LinesWaiting", self.lines_waiting().to_string()),
+            ("LinesWaitingMost", self.sums.lines_waiting_most.to_string()),
+            ("LinesLimit", self.queue_most.to_string()),
+            ("Decisions", self.sums.decisions.to_string()),
+            ("Messages", self.sums.messages.to_string()),
+            ("Lines", self.sums.lines.to_string()),
+            ("Probes", self.sums.probes.to_string()),
+            ("OrderMsP50", format!("{:.1}", micros(0.5))),
+            ("OrderMsP99", format!("{:.1}", micros(0.99))),
+            ("OrderMsMost", format!("{:.1}", self.landed.max() as f64 / 1e3)),
+            ("Wave", self.wave.to_string()),
+        ];
+        lines.iter().fold(String::new(), |text, (name, value)| text + name + ": " + value + "\n")
+    }
+
+    /// Counters as the guide's `show stat`: a row for each class and for each server of a table.
+    pub fn show_stat(&self) -> String {
+        let (servers, tables, _) = self.pilot.beliefs();
+        let mut rows: Vec<StatRow> = self.places.classes.iter().zip(&self.visits).map(front).collect();
+        for (number, table) in tables.iter().enumerate() {
+            for (server, weight) in &table.lines {
+                let met = self.met.get(server).copied().unwrap_or_default();
+                rows.push(StatRow {
+                    name: format!("t{number}"),
+                    server: self.list.name(*server).into(),
+                    status: status(&servers[server]).into(),
+                    weight: u64::from(self.scale.units(*weight)),
+                    total: met.tries,
+                    answer_failed: met.failed,
+                    mean_ms: (met.sum_ms / (met.tries - met.failed).max(1) as f64) as u64,
+                    sum_ms: Some(met.sum_ms as u64),
+                    ..StatRow::default()
+                });
+            }
+        }
+        write_stat(&rows)
+    }
+
+    /// What is believed of servers, in the guide's form, of one table or of all servers as `servers`;
+    /// behind it, as comments, what that form has no room for.
+    pub fn show_servers(&self, backend: Option<&str>) -> Result<String, String> {
+        let (servers, tables, _) = self.pilot.beliefs();
+        let mut rows = Vec::new();
+        let pick = |name: &str| backend.is_none_or(|wanted| wanted == name);
+        if pick("servers") {
+            rows.extend(servers.iter().map(|(server, known)| self.state("servers", *server, known)));
+        }
+        for (number, table) in tables.iter().enumerate().filter(|(number, _)| pick(&format!("t{number}"))) {
+            let name = format!("t{number}");
+            for (server, weight) in &table.lines {
+                let weight = self.scale.units(*weight);
+                rows.push(StateRow { weight, ..self.state(&name, *server, &servers[server]) });
+            }
+        }
+        if rows.is_empty() && backend.is_some_and(|name| name != "servers") {
+            return Err("Can't find backend.".into());
+        }
+        let mut text = write_states(&rows);
+        for (server, known) in servers.iter().filter(|_| pick("servers")) {
+            let _ = writeln!(text, "# {}", self.belief(*server, known));
+        }
+        Ok(text)
+    }
+
+    fn state(&self, backend: &str, server: Server, known: &Known) -> StateRow {
+        let address = self.list.address(server);
+        let drains = if known.listing.state == Listed::Draining { FORCED_DRAIN } else { 0 };
+        let gone = known.listing.state == Listed::Gone || known.withdrawn;
+        StateRow {
+            backend: backend.into(),
+            server: self.list.name(server).into(),
+            address: address.map_or("-".into(), |address| address.ip().to_string()),
+            port: address.map_or(0, |address| address.port()),
+            running: known.counter.is_some_and(|counter| counter > 1),
+            admin: drains | if gone { FORCED_MAINT } else { 0 },
+            weight: self.scale.units(known.listing.weight),
+            health: known.counter.unwrap_or(0),
+        }
+    }
+
+    fn belief(&self, server: Server, known: &Known) -> String {
+        let counter = known.counter.map_or("unknown".into(), |counter| counter.to_string());
+        let warm = known.warm_at.saturating_sub(self.now);
+        let doubted = known.doubted_until.saturating_sub(self.now);
+        let listed = match known.listing.state {
+            Listed::Ready => "ready",
+            Listed::Draining => "draining",
+            Listed::Gone => "gone",
+        };
+        let load = known.load.map_or("-".into(), |load| format!("{load:.2}"));
+        format!(
+            "{}: counter={counter} listed={listed} weight={} relief={:.2} part={} cold_for={:.1}s doubted_for={:.1}s \
+             withdrawn={} load={load}",
+            self.list.name(server),
+            known.listing.weight,
+            known.relief,
+            known.part,
+            warm.as_secs_f64(),
+            doubted.as_secs_f64(),
+            known.withdrawn,
+        )
+    }
+
+    /// One line a table: who is on it, what is published and what is wanted.
+    pub fn show_backend(&self) -> String {
+        let (_, tables, _) = self.pilot.beliefs();
+        let mut text = "# name part released proxies lines published wanted late kept\n".to_string();
+        for (number, table) in tables.iter().enumerate() {
+            let lines = table.lines.values().filter(|weight| **weight > 0.0).count();
+            let sum = |weights: &mut dyn Iterator<Item = &f64>| weights.sum::<f64>();
+            let (published, wanted) = (sum(&mut table.lines.values()), sum(&mut table.wanted.values()));
+            let proxies = self.joined_on(number);
+            let _ = writeln!(
+                text,
+                "t{number} {} {} {proxies} {lines} {published:.2} {wanted:.2} {:.2} {:.2}",
+                table.part, table.released, table.late, table.kept
+            );
+        }
+        text
+    }
+
+    /// One line a proxy: its stream, tables, waiting lines and last answer.
+    pub fn show_proxies(&self) -> String {
+        let mut text = "# name zone stage for_s tables lines_waiting last_answer_s breaks why\n".to_string();
+        for berth in &self.berths {
+            let tables: Vec<String> =
+                berth.book.tables().iter().map(|table: &TableNumber| format!("t{table}")).collect();
+            let tables = if tables.is_empty() { "-".into() } else { tables.join(",") };
+            let ago = berth.last_answer.map(|at| self.now.saturating_sub(at).as_secs_f64());
+            let ago = ago.map_or("-".into(), |ago| format!("{ago:.1}"));
+            let stage = match berth.stage {
+                Stage::Away => "away",
+                Stage::Asking => "asking",
+                Stage::Joined => "joined",
+            };
+            let stood = self.now.saturating_sub(berth.since).as_secs_f64();
+            let why = if berth.stage == Stage::Joined { "-" } else { &berth.why };
+            let _ = writeln!(
+                text,
+                "{} {} {stage} {stood:.1} {tables} {} {ago} {} {why}",
+                berth.at.name,
+                self.places.zones[berth.at.zone],
+                berth.book.lines(),
+                berth.breaks
+            );
+        }
+        text
+    }
+
+    /// One line a class and table: the share let in, wanted and published, and what comes.
+    pub fn show_levels(&self) -> String {
+        let (_, _, gates) = self.pilot.beliefs();
+        let mut text = "# class table wanted published demand\n".to_string();
+        for gate in gates {
+            let published = gate.admitted.map_or("-".into(), |share| share.to_string());
+            let _ = writeln!(
+                text,
+                "{} t{} {:.2} {published} {:.1}",
+                gate.name, gate.table, gate.level, gate.demand
+            );
+        }
+        text
+    }
+
+    pub fn events_since(&self, mark: &mut u64) -> String {
+        self.events.since(mark)
+    }
+
+    pub fn events_mark(&self) -> u64 {
+        self.events.mark()
+    }
+
+    /// The server behind `BACKEND/SERVER` of an operator's command.
+    ///
+    /// # Errors
+    /// In the guide's words.
+    pub fn server_of(&self, place: &str) -> Result<Server, String> {
+        let (backend, server) = place.split_once('/').ok_or("Require 'backend/server'.")?;
+        let tables = self.pilot.beliefs().1.len();
+        let number = backend.strip_prefix('t').and_then(|number| number.parse::<usize>().ok());
+        if backend != "servers" && number.is_none_or(|number| number >= tables) {
+            return Err("No such backend.".into());
+        }
+        self.list.find(server).ok_or_else(|| "No such server.".into())
+    }
+
+    /// The weight that the guide's `N` or `N%` stands for, for this server.
+    ///
+    /// # Errors
+    /// In the guide's words.
+    pub fn weight_of(&self, server: Server, text: &str) -> Result<f64, String> {
+        let wrong = || "Require <weight> or <weight%>.".to_string();
+        if let Some(percent) = text.strip_suffix('%') {
+            let percent: f64 = percent.parse().map_err(|_| wrong())?;
+            let listed = self.list.listed_weight(server).unwrap_or(1.0);
+            let most = self.scale.most;
+            let weight = listed * percent / 100.0;
+            return if (0.0..=most).contains(&weight) { Ok(weight) } else { Err(wrong()) };
+        }
+        let units: u32 = text.parse().map_err(|_| wrong())?;
+        if units <= 256 { Ok(self.scale.weight(f64::from(units))) } else { Err(wrong()) }
+    }
+}
+
+fn front((class, visits): (&String, &u64)) -> StatRow {
+    StatRow {
+        name: class.clone(),
+        server: "FRONTEND".into(),
+        status: "OPEN".into(),
+        total: *visits,
+        ..StatRow::default()
+    }
+}
+
+fn status(known: &Known) -> &'static str {
+    match known.listing.state {
+        Listed::Draining => "DRAIN",
+        Listed::Gone => "MAINT",
+        Listed::Ready if known.counter.is_none() => "no check",
+        Listed::Ready if known.counter.is_some_and(|counter| counter > 1) => "UP",
+        Listed::Ready => "DOWN",
+    }
+}
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -1,1 +1,142 @@
-//! placeholder
+//! The daemon: one pilot on loopback sockets. Sockets and clocks stand here and nothing else; what
+//! happens becomes calls of [`lockcroft_fleet::Helm`], and its effects are carried out.
+
+mod logs;
+mod probes;
+mod roster;
+mod station;
+mod streams;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use lockcroft::{Finding, Proxy, Server};
+use lockcroft_fleet::{Effect, Helm};
+use lockcroft_runtime::{Address, Listener};
+use lockcroft_terms::{Post, Roster, RosterAt};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{LocalSet, spawn_local};
+use tracing::{info, warn};
+
+use crate::station::Station;
+use crate::streams::Hand;
+
+/// Something that happened on a socket or to a file.
+enum News {
+    Listed(Roster),
+    Probed { server: Server, finding: Finding, took: Duration },
+    Connected { proxy: Proxy, stream: u64 },
+    Broken { proxy: Proxy, stream: u64, why: String },
+    Answered { proxy: Proxy, stream: u64, text: String },
+}
+
+type Told = mpsc::Sender<News>;
+
+/// So much news may wait; who has more is read no further until there is room.
+const NEWS_MOST: usize = 4096;
+/// So much of it is taken in before decisions are pulled.
+const NEWS_AT_ONCE: usize = 512;
+
+/// Runs a pilot until it is told to end. Proxies keep their tables then.
+///
+/// # Errors
+/// A socket can't be had, or the logs can't be set up.
+pub fn serve(post: &Post) -> Result<(), String> {
+    let logs = logs::start(&post.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(post, logs))
+}
+
+async fn run(post: &Post, logs: logs::Logs) -> Result<(), String> {
+    let start = Instant::now();
+    let poke = Rc::new(Notify::new());
+    let reread = Rc::new(Notify::new());
+    let station = Rc::new(RefCell::new(Station::new(Helm::new(post), logs, reread.clone())));
+    open_doors(post, &station, &poke).await?;
+    let (told, mut news) = mpsc::channel(NEWS_MOST);
+    let hands: Vec<Hand> = post
+        .proxies
+        .iter()
+        .enumerate()
+        .map(|(proxy, at)| Hand::new(proxy, at.address.clone(), told.clone()))
+        .collect();
+    match &post.roster {
+        RosterAt::Here(roster) => {
+            let _ = told.send(News::Listed(roster.clone())).await;
+        }
+        RosterAt::File(path, every) => {
+            let (places, most) = (post.places.clone(), post.weight_most());
+            spawn_local(roster::watch(path.clone(), *every, places, most, reread, told.clone()));
+        }
+    }
+    info!(target: "lockcroft::pilot", name = post.name, proxies = post.proxies.len(), "started");
+    let mut ends = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut batch = Vec::new();
+    loop {
+        let due = station.borrow().helm.next_due();
+        tokio::select! {
+            _ = news.recv_many(&mut batch, NEWS_AT_ONCE) => {}
+            () = tokio::time::sleep_until((start + due).into()) => {}
+            () = poke.notified() => {}
+            _ = ends.recv() => break,
+            _ = tokio::signal::ctrl_c() => break,
+        }
+        let effects = {
+            let helm = &mut station.borrow_mut().helm;
+            batch.drain(..).for_each(|news| take_in(helm, start.elapsed(), news));
+            helm.decide(start.elapsed())
+        };
+        effects.into_iter().for_each(|effect| carry_out(effect, &hands, &told));
+    }
+    info!(target: "lockcroft::pilot", "told to end; proxies keep their tables");
+    for door in &post.doors {
+        if let Address::Unix(path) = &door.address {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+    Ok(())
+}
+
+async fn open_doors(post: &Post, station: &Rc<RefCell<Station>>, poke: &Rc<Notify>) -> Result<(), String> {
+    for door in &post.doors {
+        let listener = Listener::bind(&door.address).await;
+        let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", door.address))?;
+        let poke = poke.clone();
+        let poked = move || poke.notify_one();
+        spawn_local(lockcroft_runtime::serve(listener, door.level, station.clone(), poked));
+    }
+    Ok(())
+}
+
+fn take_in(helm: &mut Helm, now: Duration, news: News) {
+    match news {
+        News::Listed(roster) => helm.listed(now, SystemTime::now(), roster),
+        News::Probed { server, finding, took } => helm.probed(now, server, finding, took),
+        News::Connected { proxy, stream } => helm.connected(now, proxy, stream),
+        News::Broken { proxy, stream, why } => helm.broken(now, proxy, stream, &why),
+        News::Answered { proxy, stream, text } => helm.answered(now, proxy, stream, &text),
+    }
+}
+
+fn carry_out(effect: Effect, hands: &[Hand], told: &Told) {
+    match effect {
+        Effect::Probe { server, address } => {
+            let told = told.clone();
+            spawn_local(async move {
+                let (finding, took) = probes::probe(address).await;
+                let _ = told.send(News::Probed { server, finding, took }).await;
+            });
+        }
+        Effect::Dial { proxy, stream, after } => hands[proxy].dial(stream, after),
+        Effect::Write { proxy, stream, text } => hands[proxy].write(stream, text),
+        Effect::Close { proxy } => hands[proxy].close(),
+    }
+}
+
+/// Warns of something that concerns people rather than decisions.
+fn complain(text: &str) {
+    warn!(target: "lockcroft::pilot", "{text}");
+}
--- /dev/null
+++ b/crates/pilot/src/station.rs
@@ -0,0 +1,114 @@
+//! The pilot's own runtime API: what its commands show and change.
+
+use std::rc::Rc;
+
+use lockcroft_fleet::Helm;
+use lockcroft_runtime::{Answer, Command, Desk, Entry, Level};
+use tokio::sync::Notify;
+
+use crate::logs::Logs;
+
+/// The helm, and what operators may turn beside it.
+pub struct Station {
+    pub helm: Helm,
+    logs: Logs,
+    reread: Rc<Notify>,
+}
+
+impl Station {
+    pub fn new(helm: Helm, logs: Logs, reread: Rc<Notify>) -> Self {
+        Station { helm, logs, reread }
+    }
+
+    fn set_server(&mut self, command: &Command) -> Result<String, String> {
+        let server = self.helm.server_of(command.word(2).unwrap_or_default())?;
+        match (command.word(3), command.word(4)) {
+            (Some("state"), Some("drain" | "maint")) => self.helm.say(server, |word| word.drains = true),
+            (Some("state"), Some("ready")) => self.helm.say(server, |word| word.drains = false),
+            (Some("state"), _) => {
+                return Err("'set server <srv> state' expects 'ready', 'drain' and 'maint'.".into());
+            }
+            (Some("weight"), Some(text)) => {
+                let weight = self.helm.weight_of(server, text)?;
+                self.helm.say(server, |word| word.weight = (text != "100%").then_some(weight));
+            }
+            _ => return Err("usage: set server <backend>/<server> state|weight <value>".into()),
+        }
+        Ok(String::new())
+    }
+}
+
+const ENTRIES: [Entry; 13] = [
+    user("show info", "what this pilot is and how it fares"),
+    user("show version", "the version of the program"),
+    user("show stat", "counters by class, table and server, as CSV"),
+    user("show servers state [<backend>]", "what is believed of servers"),
+    user("show backend", "tables: members, published, wanted"),
+    user("show proxies", "proxies: stream, tables, waiting lines, last answer"),
+    user("show levels", "what is let in, by class and table"),
+    user("show events [-w]", "the last notes and decisions; -w follows"),
+    user("show log", "the levels of the logs"),
+    admin(
+        "set server <b>/<s> state|weight <value>",
+        "an operator's word on a server: drain, maint, ready, N, N%",
+    ),
+    admin("set weight <b>/<s> <value>", "the same as set server <b>/<s> weight"),
+    admin("set log <levels>", "levels of the logs, as info,lockcroft::order=debug"),
+    admin("reload roster", "read the roster file again now"),
+];
+
+const fn user(words: &'static str, help: &'static str) -> Entry {
+    Entry { words, level: Level::User, help }
+}
+
+const fn admin(words: &'static str, help: &'static str) -> Entry {
+    Entry { words, level: Level::Admin, help }
+}
+
+impl Desk for Station {
+    fn entries(&self) -> &'static [Entry] {
+        &ENTRIES
+    }
+
+    fn answer(&mut self, entry: &Entry, command: &Command) -> Answer {
+        let helm = &self.helm;
+        let said = match entry.words {
+            "show info" => Ok(helm.show_info()),
+            "show version" => Ok(format!("lockcroft {}\n", env!("CARGO_PKG_VERSION"))),
+            "show stat" => Ok(helm.show_stat()),
+            "show servers state [<backend>]" => helm.show_servers(command.word(3)),
+            "show backend" => Ok(helm.show_backend()),
+            "show proxies" => Ok(helm.show_proxies()),
+            "show levels" => Ok(helm.show_levels()),
+            "show events [-w]" => {
+                let mut mark = 0;
+                let text = helm.events_since(&mut mark);
+                if command.word(2) == Some("-w") {
+                    return Answer::Follow(text, mark);
+                }
+                Ok(text)
+            }
+            "show log" => Ok(format!("{}\n", self.logs.levels)),
+            "set log <levels>" => match command.word(2) {
+                Some(levels) => self.logs.set(levels).map(|()| String::new()),
+                None => Err("usage: set log <levels>".into()),
+            },
+            "reload roster" => {
+                self.reread.notify_one();
+                Ok("The roster will be read again.\n".into())
+            }
+            "set weight <b>/<s> <value>" => {
+                let words =
+                    ["set", "server", command.word(2).unwrap_or(""), "weight", command.word(3).unwrap_or("")];
+                let words = words.into_iter().map(String::from).collect();
+                self.set_server(&Command { words, payload: None })
+            }
+            _ => self.set_server(command),
+        };
+        Answer::Text(said.unwrap_or_else(|wrong| wrong + "\n"))
+    }
+
+    fn more(&mut self, mark: &mut u64) -> String {
+        self.helm.events_since(mark)
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,12 @@
-//! placeholder
+//! What a proxy holds, how it chooses, and the orders of the runtime API that change it. There is no
+//! I/O and no clock here: whoever has the sockets calls [`Held`] and carries out what it says.
+
+mod choose;
+mod desk;
+mod held;
+mod tries;
+
+pub use choose::Wheel;
+pub use desk::BACKENDS_MOST;
+pub use held::{Chosen, Held, Limits, STANDING};
+pub use tries::{Ending, may_try_again};
--- /dev/null
+++ b/crates/rehearsal/src/day.rs
@@ -0,0 +1,174 @@
+//! A day as it is scripted.
+
+use std::path::Path;
+use std::time::Duration;
+
+use lockcroft_terms::{Document, Faults, span};
+use roxmltree::Node;
+
+/// A scripted day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub length: Duration,
+    pub seed: u64,
+    /// The part of a settings file from `zones` to `allowed`, as it stands.
+    pub terms: String,
+    pub endpoints: Vec<Endpoints>,
+    pub relays: Relays,
+    pub visits: Vec<Visits>,
+    /// In the order of their times.
+    pub troubles: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Endpoints {
+    pub kind: String,
+    pub per_zone: usize,
+    pub cores: usize,
+    pub speed: f64,
+    pub queue: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Relays {
+    pub per_zone: usize,
+    pub standing: usize,
+    pub shuns_for: Duration,
+    pub try_most: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct Visits {
+    pub class: String,
+    /// Visits a second, all relays together.
+    pub rate: f64,
+    pub work: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TroubleKind {
+    Hang,
+    Errors,
+    Slow,
+    Refuse,
+    /// The process dies, and comes back cold; the list tells of both after `notice`.
+    Lose,
+    /// The list says that it drains.
+    Drain,
+    /// The list says that it is gone, and it is not.
+    Lie,
+    StallRelay,
+    BreakRelay,
+    RestartRelay,
+    KillPilot,
+    Load,
+}
+
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub at: Duration,
+    /// How long it lasts; what is not stated lasts to the end.
+    pub lasts: Option<Duration>,
+    pub kind: TroubleKind,
+    pub servers: Vec<String>,
+    pub zone: Option<String>,
+    pub relay: Option<String>,
+    pub times: f64,
+    pub after_commands: usize,
+    pub notice: Duration,
+}
+
+impl Day {
+    /// # Errors
+    /// All that is wrong with the file.
+    pub fn open(file: &Path) -> Result<Self, Faults> {
+        Day::read(&Document::open(file, crate::SCHEMA)?)
+    }
+
+    /// # Errors
+    /// All that is wrong with the text.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        Day::read(&Document::new(Path::new("day.xml"), text.into(), crate::SCHEMA)?)
+    }
+
+    fn read(document: &Document) -> Result<Self, Faults> {
+        let tree = document.tree();
+        let root = tree.root_element();
+        let all = |name: &'static str| root.children().filter(move |node| node.has_tag_name(name));
+        let terms = all("terms").next().map(|node| inside(document.text(), node)).unwrap_or_default();
+        let relays = all("relays").next().map(|node| Relays {
+            per_zone: number(node, "per-zone", 1.0) as usize,
+            standing: number(node, "standing", 8.0) as usize,
+            shuns_for: time(node, "shuns-for").unwrap_or(Duration::from_secs(5)),
+            try_most: time(node, "try-most").unwrap_or(Duration::from_secs(60)),
+        });
+        let endpoints = all("endpoints").map(|node| Endpoints {
+            kind: text(node, "kind"),
+            per_zone: number(node, "per-zone", 1.0) as usize,
+            cores: number(node, "cores", 1.0) as usize,
+            speed: number(node, "speed", 1.0),
+            queue: number(node, "queue", 64.0) as usize,
+        });
+        let visits = all("visits").map(|node| Visits {
+            class: text(node, "class"),
+            rate: number(node, "rate", 1.0),
+            work: time(node, "work").unwrap_or_default(),
+        });
+        let mut troubles: Vec<Trouble> = all("trouble").map(trouble).collect();
+        troubles.sort_by_key(|trouble| trouble.at);
+        Ok(Day {
+            length: time(root, "length").unwrap_or_default(),
+            seed: number(root, "seed", 1.0) as u64,
+            terms,
+            endpoints: endpoints.collect(),
+            relays: relays.expect("the schema wants relays"),
+            visits: visits.collect(),
+            troubles,
+        })
+    }
+}
+
+fn trouble(node: Node) -> Trouble {
+    let kind = match node.attribute("kind").unwrap_or_default() {
+        "hang" => TroubleKind::Hang,
+        "errors" => TroubleKind::Errors,
+        "slow" => TroubleKind::Slow,
+        "refuse" => TroubleKind::Refuse,
+        "lose" => TroubleKind::Lose,
+        "drain" => TroubleKind::Drain,
+        "lie" => TroubleKind::Lie,
+        "stall-relay" => TroubleKind::StallRelay,
+        "break-relay" => TroubleKind::BreakRelay,
+        "restart-relay" => TroubleKind::RestartRelay,
+        "kill-pilot" => TroubleKind::KillPilot,
+        _ => TroubleKind::Load,
+    };
+    Trouble {
+        at: time(node, "at").unwrap_or_default(),
+        lasts: time(node, "for"),
+        kind,
+        servers: text(node, "servers").split_whitespace().map(String::from).collect(),
+        zone: node.attribute("zone").map(String::from),
+        relay: node.attribute("relay").map(String::from),
+        times: number(node, "times", 1.0),
+        after_commands: number(node, "after-commands", 1.0) as usize,
+        notice: time(node, "notice").unwrap_or(Duration::from_secs(1)),
+    }
+}
+
+fn inside(text: &str, node: Node) -> String {
+    let parts = node.children().filter(Node::is_element).map(|child| &text[child.range()]);
+    parts.fold(String::new(), |all, part| all + part + "\n")
+}
+
+fn text(node: Node, name: &str) -> String {
+    node.attribute(name).unwrap_or_default().into()
+}
+
+fn time(node: Node, name: &str) -> Option<Duration> {
+    node.attribute(name).and_then(|time| span(time).ok())
+}
+
+fn number(node: Node, name: &str, default: f64) -> f64 {
+    node.attribute(name).and_then(|number| number.parse().ok()).unwrap_or(default)
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,21 @@
-//! placeholder
+//! Plays a scripted day: a real pilot in a process of its own, stand-ins on loopback, troubles by
+//! time. Judges the five rules from what passed on the sockets, never from the pilot's own word.
+
+mod day;
+mod pilot;
+mod play;
+mod roster;
+mod rules;
+mod score;
+mod seen;
+mod stage;
+
+pub use day::{Day, Trouble, TroubleKind};
+pub use pilot::PilotProcess;
+pub use play::{Report, play};
+pub use rules::{Limits, Verdict, judge};
+pub use score::{Score, score};
+pub use stage::{Stage, settings};
+
+/// The schema of days.
+pub const SCHEMA: &str = include_str!("../day.xsd");
--- /dev/null
+++ b/crates/rehearsal/src/play.rs
@@ -0,0 +1,201 @@
+//! Plays a day by its script.
+
+use std::fmt;
+use std::path::Path;
+use std::time::{Duration, SystemTime};
+
+use lockcroft_runtime::{Address, ask};
+use lockcroft_standin::{Caller, ClassTerms, Mode, Record, Stall, call_on};
+use serde::Serialize;
+
+use crate::day::{Day, Trouble, TroubleKind};
+use crate::pilot::PilotProcess;
+use crate::rules::{Verdict, judge};
+use crate::score::{Score, score};
+use crate::stage::Stage;
+
+/// What came of a day.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub verdicts: Vec<Verdict>,
+    pub score: Score,
+    /// The pilot's `show info` at the end; for people, not for the verdicts.
+    pub pilot: Vec<String>,
+    pub exit: Option<i32>,
+    pub records: Vec<Record>,
+}
+
+impl Report {
+    pub fn kept(&self) -> bool {
+        self.verdicts.iter().all(Verdict::kept)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        for verdict in &self.verdicts {
+            let Verdict { rule, of, figure, limit, at } = verdict;
+            let word = if verdict.kept() { "kept" } else { "BROKEN" };
+            let at = if at.is_empty() { String::new() } else { format!(" ({at})") };
+            writeln!(out, "{word:6} {rule:20} {figure:.2} of {limit:.2} {of}{at}")?;
+        }
+        let Score { visits, whole, worst_window, worst_at_s, classes } = &self.score;
+        writeln!(
+            out,
+            "fulfilled earnings {whole:.3} of {visits} visits, {worst_window:.3} in the worst 10 s (from {worst_at_s:.0} s)"
+        )?;
+        for (class, share) in classes {
+            writeln!(out, "  {class}: {share:.3}")?;
+        }
+        let broken: Vec<&str> = self.verdicts.iter().filter(|v| !v.kept()).map(|v| v.rule).collect();
+        match broken.is_empty() {
+            true => write!(out, "rules kept"),
+            false => write!(out, "rules broken: {}", broken.join(", ")),
+        }
+    }
+}
+
+/// One step of the script; a trouble that lasts makes two, one that the list tells of late makes three.
+struct Step<'a> {
+    at: Duration,
+    trouble: &'a Trouble,
+    phase: Phase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Begins,
+    Noticed,
+    Ends,
+}
+
+/// Plays the day with this program as the pilot, its files in the folder. Tells what happens as it does.
+///
+/// # Errors
+/// The day can't be staged, or a trouble names who is not there.
+pub async fn play(day: &Day, program: &Path, folder: &Path, tell: impl Fn(&str)) -> Result<Report, String> {
+    let mut stage = Stage::build(day, folder).await?;
+    let mut steps = Vec::new();
+    for trouble in &day.troubles {
+        check(&stage, trouble)?;
+        steps.push(Step { at: trouble.at, trouble, phase: Phase::Begins });
+        if trouble.kind == TroubleKind::Lose {
+            steps.push(Step { at: trouble.at + trouble.notice, trouble, phase: Phase::Noticed });
+        }
+        let end = trouble.lasts.map(|lasts| trouble.at + lasts);
+        steps.extend(end.map(|at| Step { at, trouble, phase: Phase::Ends }));
+    }
+    steps.sort_by_key(|step| step.at);
+    let pilot = PilotProcess::start(program, &stage.settings, &folder.join("pilot.log"));
+    let mut pilot = pilot.map_err(|e| format!("{}: {e}", program.display()))?;
+    let caller = Caller::new(stage.tap.clone());
+    call(day, &stage, &caller);
+    for step in steps.iter().filter(|step| step.at < day.length) {
+        tokio::time::sleep(step.at.saturating_sub(stage.tap.now())).await;
+        tell(&format!("{:5.1} s: {:?} {:?}", step.at.as_secs_f64(), step.trouble.kind, step.phase));
+        act(step, &mut stage, &mut pilot, &caller)?;
+    }
+    tokio::time::sleep(day.length.saturating_sub(stage.tap.now())).await;
+    // The last visits end within their patience.
+    tokio::time::sleep(patience(&stage)).await;
+    let socket = Address::Unix(stage.socket.clone());
+    let info = ask(&socket, "show info", Duration::from_secs(2)).await.unwrap_or_else(|e| e.to_string());
+    let exit = pilot.end(Duration::from_secs(5));
+    let records = stage.tap.records();
+    Ok(Report {
+        verdicts: judge(&records, &stage.limits),
+        score: score(&records, &stage.post.terms),
+        pilot: info.lines().filter(|line| !line.is_empty()).map(String::from).collect(),
+        exit,
+        records,
+    })
+}
+
+fn patience(stage: &Stage) -> Duration {
+    let terms = &stage.post.terms;
+    let spans = (0..stage.limits.classes.len()).map(|i| terms.span(&format!("classes.{i}.patience_us")));
+    spans.max().unwrap_or_default()
+}
+
+fn call(day: &Day, stage: &Stage, caller: &Caller) {
+    let relays: Vec<_> = stage.relays.iter().map(|relay| relay.visits).collect();
+    for (place, visits) in day.visits.iter().enumerate() {
+        let number = stage.limits.classes.iter().position(|class| *class == visits.class).unwrap_or(0);
+        let patience = stage.post.terms.span(&format!("classes.{number}.patience_us"));
+        let class = ClassTerms { name: visits.class.clone(), patience, rate: visits.rate };
+        let seed = day.seed.wrapping_add(place as u64);
+        tokio::spawn(call_on(caller.clone(), class, relays.clone(), seed, day.length));
+    }
+}
+
+fn check(stage: &Stage, trouble: &Trouble) -> Result<(), String> {
+    stage.meant(&trouble.servers, trouble.zone.as_deref())?;
+    if let Some(name) = &trouble.relay
+        && !stage.relays.iter().any(|relay| relay.terms.name == *name)
+    {
+        return Err(format!("no relay {name:?}"));
+    }
+    Ok(())
+}
+
+fn act(step: &Step<'_>, stage: &mut Stage, pilot: &mut PilotProcess, caller: &Caller) -> Result<(), String> {
+    let (trouble, begins) = (step.trouble, step.phase == Phase::Begins);
+    let servers = stage.meant(&trouble.servers, trouble.zone.as_deref())?;
+    let set = |stage: &Stage, mode: Mode| {
+        let mode = if begins { mode } else { Mode::Well };
+        servers.iter().for_each(|name| stage.endpoints[name].set(mode));
+    };
+    let relays: Vec<_> =
+        stage.relays.iter().filter(|relay| Some(&relay.terms.name) == trouble.relay.as_ref()).collect();
+    match trouble.kind {
+        TroubleKind::Hang => set(stage, Mode::Hang),
+        TroubleKind::Errors => set(stage, Mode::Errors),
+        TroubleKind::Slow => set(stage, Mode::Slow(trouble.times)),
+        TroubleKind::Refuse => set(stage, Mode::Refuse),
+        TroubleKind::Lose => lose(stage, &servers, step.phase)?,
+        TroubleKind::Drain => list(stage, &servers, if begins { "draining" } else { "ready" })?,
+        TroubleKind::Lie => list(stage, &servers, if begins { "gone" } else { "ready" })?,
+        TroubleKind::StallRelay if begins => {
+            let lasts = trouble.lasts.unwrap_or(Duration::from_secs(3));
+            relays.iter().for_each(|relay| relay.stall(Stall::Still(trouble.after_commands, lasts)));
+        }
+        TroubleKind::BreakRelay if begins => {
+            relays.iter().for_each(|relay| relay.stall(Stall::Break(trouble.after_commands)));
+        }
+        TroubleKind::RestartRelay if begins => relays.iter().for_each(|relay| relay.restart()),
+        TroubleKind::StallRelay | TroubleKind::BreakRelay | TroubleKind::RestartRelay => {}
+        TroubleKind::KillPilot if begins => pilot.kill(),
+        TroubleKind::KillPilot => pilot.again().map_err(|e| e.to_string())?,
+        TroubleKind::Load => caller.set_factor(if begins { trouble.times } else { 1.0 }),
+    }
+    Ok(())
+}
+
+fn list(stage: &mut Stage, servers: &[String], state: &'static str) -> Result<(), String> {
+    for name in servers {
+        if let Some(line) = stage.roster.lines.get_mut(name) {
+            line.state = state;
+        }
+    }
+    stage.roster.write().map_err(|e| e.to_string())
+}
+
+/// Processes die, the list tells of it a while later, and they come back cold.
+fn lose(stage: &mut Stage, servers: &[String], phase: Phase) -> Result<(), String> {
+    match phase {
+        Phase::Begins => {
+            servers.iter().for_each(|name| stage.endpoints[name].set(Mode::Down));
+            Ok(())
+        }
+        Phase::Noticed => list(stage, servers, "gone"),
+        Phase::Ends => {
+            for name in servers {
+                stage.endpoints[name].restart();
+                if let Some(line) = stage.roster.lines.get_mut(name) {
+                    line.started = Some((stage.tap.now(), SystemTime::now()));
+                }
+            }
+            list(stage, servers, "ready")
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/rules.rs
@@ -0,0 +1,264 @@
+//! The five rules, judged from the tap.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use lockcroft::Terms;
+use lockcroft_standin::{Record, What};
+use serde::Serialize;
+
+use crate::seen::Seen;
+
+/// The limits as the terms state them.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub classes: Vec<String>,
+    /// Classes of which no effect may happen twice: all but safe ones.
+    pub once: Vec<String>,
+    pub unserved_most: Duration,
+    pub drain_grace: Duration,
+    pub only_draining_binds: bool,
+    pub cold_share: f64,
+    pub warm_within: Duration,
+    pub cold_multiple: f64,
+    pub cold_span: Duration,
+    pub queue_most: f64,
+    pub messages_most: f64,
+    pub messages_span: Duration,
+}
+
+impl Limits {
+    pub fn read(terms: &Terms) -> Self {
+        let class = |i: usize, what: &str| terms.text(&format!("classes.{i}.{what}")).map(String::from);
+        let number = |name: &str| terms.number(name).unwrap_or(f64::INFINITY);
+        let classes: Vec<String> = (0..terms.count("classes")).filter_map(|i| class(i, "name")).collect();
+        let unsafe_ones = (0..classes.len()).filter(|i| class(*i, "effect").is_some_and(|e| e != "safe"));
+        Limits {
+            once: unsafe_ones.map(|i| classes[i].clone()).collect(),
+            classes,
+            unserved_most: terms.span("rules.unserved_most_us"),
+            drain_grace: terms.span("rules.drain_grace_us"),
+            only_draining_binds: terms.flag("rules.only_draining_binds"),
+            cold_share: number("rules.cold_share"),
+            warm_within: terms.span("rules.warm_within_us"),
+            cold_multiple: number("rules.cold_multiple"),
+            cold_span: terms.span("rules.cold_span_us"),
+            queue_most: terms.limit("fleet.queue_most_lines"),
+            messages_most: terms.limit("fleet.messages_most"),
+            messages_span: terms.span("fleet.messages_span_us"),
+        }
+    }
+}
+
+/// One rule with its figure, which must not pass its limit.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Verdict {
+    pub rule: &'static str,
+    /// What the figure counts.
+    pub of: &'static str,
+    pub figure: f64,
+    pub limit: f64,
+    /// Who and when, at the figure.
+    pub at: String,
+}
+
+impl Verdict {
+    fn new(rule: &'static str, of: &'static str, limit: f64) -> Self {
+        Verdict { rule, of, figure: 0.0, limit, at: String::new() }
+    }
+
+    fn met(&mut self, figure: f64, at: impl FnOnce() -> String) {
+        if figure > self.figure {
+            (self.figure, self.at) = (figure, at());
+        }
+    }
+
+    pub fn kept(&self) -> bool {
+        self.figure <= self.limit
+    }
+}
+
+/// Goes through the record once, in order.
+pub fn judge(records: &[Record], limits: &Limits) -> Vec<Verdict> {
+    let mut judge = Judge {
+        limits,
+        relays: BTreeMap::new(),
+        listed: BTreeMap::new(),
+        ran: BTreeMap::new(),
+        cold: BTreeMap::new(),
+        sent: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+        bare: Verdict::new("endpoint for all", "s without a line", limits.unserved_most.as_secs_f64()),
+        twice: Verdict::new("no effect twice", "visits run twice", 0.0),
+        drains: Verdict::new("drains kept", "s after told", limits.drain_grace.as_secs_f64()),
+        pushed: Verdict::new("no cold pushed over", "times capacity", limits.cold_multiple),
+        queue: Verdict::new("short queue", "lines waiting", limits.queue_most),
+        messages: Verdict::new("few messages", "messages in the span", limits.messages_most),
+    };
+    for record in records {
+        judge.take(record);
+    }
+    if let Some(last) = records.last() {
+        judge.bare_now(last.at);
+    }
+    vec![judge.bare, judge.twice, judge.drains, judge.pushed, judge.queue, judge.messages]
+}
+
+/// A started process: when, its full capacity, and what came of late.
+struct Cold {
+    since: Duration,
+    capacity: f64,
+    came: VecDeque<(Duration, f64)>,
+}
+
+#[derive(Clone, Copy)]
+struct Listed {
+    ready: bool,
+    /// When the list first said that visits must not go there.
+    out_since: Option<Duration>,
+    started: Option<Duration>,
+}
+
+struct Judge<'a> {
+    limits: &'a Limits,
+    /// What each relay holds, and since when a class of it has been without a line.
+    relays: BTreeMap<String, (Seen, Option<Duration>)>,
+    listed: BTreeMap<String, Listed>,
+    ran: BTreeMap<u64, u32>,
+    cold: BTreeMap<String, Cold>,
+    sent: BTreeMap<String, VecDeque<Duration>>,
+    /// Commands by relay that came in and were not carried out yet.
+    waiting: BTreeMap<String, usize>,
+    bare: Verdict,
+    twice: Verdict,
+    drains: Verdict,
+    pushed: Verdict,
+    queue: Verdict,
+    messages: Verdict,
+}
+
+impl Judge<'_> {
+    fn take(&mut self, record: &Record) {
+        let at = record.at;
+        match &record.what {
+            What::Listed { servers } => {
+                self.bare_now(at);
+                self.list(at, servers);
+            }
+            What::Standing { relay, servers } => {
+                let classes = self.limits.classes.clone();
+                self.seen(at, relay, |seen| seen.standing(servers, &classes));
+            }
+            What::Stream { relay, open } => {
+                // What was on its way when the stream broke waits no longer.
+                self.waiting.remove(relay);
+                self.seen(at, relay, |seen| seen.stream(at, *open));
+            }
+            What::Stalled { relay, on } => self.seen(at, relay, |seen| seen.stall(at, *on)),
+            What::Line { relay, commands } => self.line(at, relay, *commands),
+            What::Order { relay, command, answer } => {
+                let waiting = self.waiting.entry(relay.clone()).or_default();
+                *waiting = waiting.saturating_sub(1);
+                self.seen(at, relay, |seen| seen.order(command, answer));
+            }
+            What::Arrived { endpoint, relay, work, .. } => {
+                self.drained(at, endpoint, relay);
+                self.arrived_cold(at, endpoint, *work);
+            }
+            What::Ran { visit, class, endpoint } => {
+                let times = self.ran.entry(*visit).or_default();
+                *times += 1;
+                if *times > 1 && self.limits.once.contains(class) {
+                    let figure = self.twice.figure + 1.0;
+                    self.twice
+                        .met(figure, || format!("visit {visit} at {endpoint} at {:.1} s", at.as_secs_f64()));
+                }
+            }
+            What::Started { endpoint, capacity } => {
+                let cold = Cold { since: at, capacity: *capacity, came: VecDeque::new() };
+                self.cold.insert(endpoint.clone(), cold);
+            }
+            What::Fell { endpoint } => {
+                let limit = self.limits.cold_multiple;
+                self.pushed.met(limit * 1.001, || format!("{endpoint} fell at {:.1} s", at.as_secs_f64()));
+            }
+            What::Visit { .. } => {}
+        }
+    }
+
+    fn list(&mut self, at: Duration, servers: &[(String, String, Option<Duration>)]) {
+        let before = std::mem::take(&mut self.listed);
+        let missing = before.iter().filter(|(name, _)| !servers.iter().any(|(known, ..)| known == *name));
+        let gone = missing.map(|(name, listed)| (name.clone(), "gone".to_string(), listed.started));
+        for (name, state, started) in servers.iter().cloned().chain(gone.collect::<Vec<_>>()) {
+            let binds = state == "draining" || state == "gone" && !self.limits.only_draining_binds;
+            let was = before.get(&name).and_then(|listed| listed.out_since);
+            let out_since = binds.then(|| was.unwrap_or(at));
+            self.listed.insert(name, Listed { ready: state == "ready", out_since, started });
+        }
+    }
+
+    /// Changes what is known of a relay, and sees whether it was or is without a line.
+    fn seen(&mut self, at: Duration, relay: &str, change: impl FnOnce(&mut Seen)) {
+        let some_open = self.some_open(at);
+        let (seen, since) = self.relays.entry(relay.into()).or_default();
+        change(seen);
+        let bare = seen.joined.is_some() && seen.bare() && some_open;
+        if let Some(from) = *since {
+            let stretch = (at - from).as_secs_f64();
+            self.bare.met(stretch, || format!("{relay} until {:.1} s", at.as_secs_f64()));
+        }
+        *since = if bare { since.or(Some(at)) } else { None };
+    }
+
+    fn bare_now(&mut self, at: Duration) {
+        let relays: Vec<String> = self.relays.keys().cloned().collect();
+        relays.iter().for_each(|relay| self.seen(at, relay, |_| {}));
+    }
+
+    /// Whether the list shows a server that is ready and no longer cold.
+    fn some_open(&self, at: Duration) -> bool {
+        let warm = |listed: &Listed| listed.started.is_none_or(|start| start + self.limits.warm_within <= at);
+        self.listed.values().any(|listed| listed.ready && warm(listed))
+    }
+
+    fn drained(&mut self, at: Duration, endpoint: &str, relay: &str) {
+        let out = self.listed.get(endpoint).and_then(|listed| listed.out_since);
+        let joined = self.relays.get(relay).and_then(|(seen, _)| seen.joined);
+        if let (Some(out), Some(joined)) = (out, joined) {
+            let late = (at - out.max(joined)).as_secs_f64();
+            self.drains.met(late, || format!("{relay} to {endpoint} at {:.1} s", at.as_secs_f64()));
+        }
+    }
+
+    fn arrived_cold(&mut self, at: Duration, endpoint: &str, work: f64) {
+        let limits = self.limits;
+        let Some(cold) = self.cold.get_mut(endpoint) else { return };
+        let grown = (at - cold.since).as_secs_f64() / limits.warm_within.as_secs_f64();
+        let warmth = limits.cold_share + (1.0 - limits.cold_share) * grown;
+        if warmth >= 1.0 {
+            self.cold.remove(endpoint);
+            return;
+        }
+        cold.came.push_back((at, work));
+        while cold.came.front().is_some_and(|(came, _)| *came + limits.cold_span < at) {
+            cold.came.pop_front();
+        }
+        let came: f64 = cold.came.iter().map(|(_, work)| work).sum();
+        let times = came / (warmth * cold.capacity * limits.cold_span.as_secs_f64());
+        self.pushed.met(times, || format!("{endpoint} at {:.1} s", at.as_secs_f64()));
+    }
+
+    fn line(&mut self, at: Duration, relay: &str, commands: usize) {
+        *self.waiting.entry(relay.into()).or_default() += commands;
+        let waiting = self.waiting.values().sum::<usize>() as f64;
+        self.queue.met(waiting, || format!("at {:.1} s", at.as_secs_f64()));
+        let sent = self.sent.entry(relay.into()).or_default();
+        sent.push_back(at);
+        while sent.front().is_some_and(|first| *first + self.limits.messages_span < at) {
+            sent.pop_front();
+        }
+        let count = sent.len() as f64;
+        self.messages.met(count, || format!("{relay} at {:.1} s", at.as_secs_f64()));
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/score.rs
@@ -0,0 +1,83 @@
+//! What was earned: fulfilled earnings over asked ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lockcroft::Terms;
+use lockcroft_standin::{Record, What};
+use serde::Serialize;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Shares from 0 to 1.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Score {
+    pub visits: usize,
+    pub whole: f64,
+    /// The worst 10 s of the day, by the time when visits were asked; and where they begin, in s.
+    pub worst_window: f64,
+    pub worst_at_s: f64,
+    pub classes: BTreeMap<String, f64>,
+}
+
+/// An answer in contract time earns in full, one within patience what the terms state for it.
+pub fn score(records: &[Record], terms: &Terms) -> Score {
+    let figure = |i: usize, what: &str| terms.number(&format!("classes.{i}.{what}"));
+    let classes = 0..terms.count("classes");
+    let earns: BTreeMap<&str, (f64, f64, f64)> = classes
+        .filter_map(|i| {
+            let name = terms.text(&format!("classes.{i}.name"))?;
+            let contract = figure(i, "contract_time_us")? / 1e6;
+            Some((name, (contract, figure(i, "earnings")?, figure(i, "late_earnings").unwrap_or(0.0))))
+        })
+        .collect();
+    let mut windows: BTreeMap<u64, Share> = BTreeMap::new();
+    let (mut all, mut by_class, mut visits) = (Share::default(), BTreeMap::<String, Share>::new(), 0);
+    for record in records {
+        let What::Visit { class, asked, status, .. } = &record.what else { continue };
+        let Some((contract, earnings, late)) = earns.get(class.as_str()) else { continue };
+        let in_time = (record.at - *asked).as_secs_f64() <= *contract;
+        let part = if *status != 200 {
+            0.0
+        } else if in_time {
+            1.0
+        } else {
+            *late
+        };
+        visits += 1;
+        all.add(*earnings, part);
+        by_class.entry(class.clone()).or_default().add(*earnings, part);
+        // Windows begin at every second; a visit stands in all that hold it.
+        let second = asked.as_secs();
+        for begin in second.saturating_sub(WINDOW.as_secs() - 1)..=second {
+            windows.entry(begin).or_default().add(*earnings, part);
+        }
+    }
+    let last = windows.keys().last().map_or(0, |last| last.saturating_sub(WINDOW.as_secs() - 1));
+    let whole_ones = windows.iter().filter(|(begin, _)| **begin <= last);
+    let worst = whole_ones.min_by(|(_, a), (_, b)| a.share().total_cmp(&b.share()));
+    Score {
+        visits,
+        whole: all.share(),
+        worst_window: worst.map_or(0.0, |(_, share)| share.share()),
+        worst_at_s: worst.map_or(0.0, |(begin, _)| *begin as f64),
+        classes: by_class.into_iter().map(|(class, share)| (class, share.share())).collect(),
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    asked: f64,
+    fulfilled: f64,
+}
+
+impl Share {
+    fn add(&mut self, earnings: f64, part: f64) {
+        self.asked += earnings;
+        self.fulfilled += earnings * part;
+    }
+
+    fn share(&self) -> f64 {
+        if self.asked > 0.0 { self.fulfilled / self.asked } else { 1.0 }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/stage.rs
@@ -0,0 +1,137 @@
+//! The stage of a day: endpoints, relays, the list and the pilot's settings.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use lockcroft_proxy::Limits as Shuns;
+use lockcroft_standin::{Endpoint, EndpointTerms, Relay, RelayTerms, Tap};
+use lockcroft_terms::Post;
+use nanorand::{Rng, WyRand};
+
+use crate::day::Day;
+use crate::roster::{Line, RosterFile};
+use crate::rules::Limits;
+
+pub struct Stage {
+    pub endpoints: BTreeMap<String, Endpoint>,
+    pub relays: Vec<Relay>,
+    pub roster: RosterFile,
+    pub settings: PathBuf,
+    /// The pilot's own runtime API.
+    pub socket: PathBuf,
+    pub post: Post,
+    pub limits: Limits,
+    pub tap: Tap,
+}
+
+/// A whole settings file from the day's terms.
+pub fn settings(terms: &str, seed: u64, socket: &Path, proxies: &str, roster: &str) -> String {
+    format!(
+        "<lockcroft>\n<pilot name=\"rehearsed\" seed=\"{seed}\"/>\n\
+         <runtime><listen address=\"unix:{}\" level=\"admin\"/></runtime>\n\
+         <log levels=\"info,lockcroft::decision=debug,lockcroft::order=debug,lockcroft::answer=debug\"/>\n\
+         {terms}<proxies>\n{proxies}</proxies>\n{roster}\n</lockcroft>\n",
+        socket.display()
+    )
+}
+
+impl Stage {
+    /// Starts all stand-ins and writes the pilot's files into the folder.
+    ///
+    /// # Errors
+    /// The day's terms are no settings, or a socket or file can't be had.
+    pub async fn build(day: &Day, folder: &Path) -> Result<Self, String> {
+        let (socket, path) = (folder.join("pilot.sock"), folder.join("pilot.xml"));
+        let io = |e: std::io::Error| e.to_string();
+        fs::write(&path, settings(&day.terms, day.seed, &socket, "", "<roster/>")).map_err(io)?;
+        let post = Post::open(&path).map_err(|faults| faults.to_string())?;
+        let (limits, tap) = (Limits::read(&post.terms), Tap::default());
+        let mut endpoints = BTreeMap::new();
+        let mut lines = BTreeMap::new();
+        for zone in &post.places.zones {
+            for (group, like) in day.endpoints.iter().enumerate() {
+                for number in 1..=like.per_zone {
+                    let mark = if group == 0 { String::new() } else { format!("{group}-") };
+                    let name = format!("{zone}-{mark}{number}");
+                    let work = day.visits.iter().map(|v| (v.class.clone(), v.work.as_secs_f64())).collect();
+                    let endpoint = endpoint(&name, like, work, &limits, &tap).await.map_err(io)?;
+                    let (kind, address) = (like.kind.clone(), endpoint.address);
+                    let line = Line { zone: zone.clone(), kind, address, state: "ready", started: None };
+                    lines.insert(name.clone(), line);
+                    endpoints.insert(name, endpoint);
+                }
+            }
+        }
+        let mut chance = WyRand::new_seed(day.seed);
+        let mut relays = Vec::new();
+        let mut proxies = String::new();
+        let rate: f64 = day.visits.iter().map(|visits| visits.rate).sum();
+        let share = rate / (day.relays.per_zone * post.places.zones.len()) as f64;
+        for zone in &post.places.zones {
+            for number in 1..=day.relays.per_zone {
+                let name = format!("r-{zone}-{number}");
+                let mut near: Vec<_> = lines.iter().filter(|(_, line)| line.zone == *zone).collect();
+                chance.shuffle(&mut near);
+                let near = near.into_iter().take(day.relays.standing);
+                let standing = near.map(|(name, line)| (name.clone(), line.address)).collect();
+                let shuns_after = post.terms.number("fleet.shuns_after").unwrap_or(0.0) as u32;
+                let terms = RelayTerms {
+                    name: name.clone(),
+                    classes: post.places.classes.clone(),
+                    standing,
+                    limits: Shuns { shuns_after, shuns_for: day.relays.shuns_for },
+                    try_most: day.relays.try_most,
+                };
+                let relay = Relay::start(terms, tap.clone()).await.map_err(io)?;
+                proxies += &format!(
+                    "<proxy name=\"{name}\" zone=\"{zone}\" address=\"{}\" visits-per-s=\"{share:.2}\"/>\n",
+                    relay.control
+                );
+                relays.push(relay);
+            }
+        }
+        let mut roster = RosterFile::new(folder.join("roster.xml"), lines, tap.clone());
+        roster.write().map_err(io)?;
+        let file = "<roster-file path=\"roster.xml\" look-every=\"100ms\"/>";
+        fs::write(&path, settings(&day.terms, day.seed, &socket, &proxies, file)).map_err(io)?;
+        let post = Post::open(&path).map_err(|faults| faults.to_string())?;
+        Ok(Stage { endpoints, relays, roster, settings: path, socket, post, limits, tap })
+    }
+
+    /// Endpoints by name or zone.
+    ///
+    /// # Errors
+    /// Names who is not there.
+    pub fn meant(&self, servers: &[String], zone: Option<&str>) -> Result<Vec<String>, String> {
+        let unknown = servers.iter().find(|name| !self.endpoints.contains_key(*name));
+        if let Some(name) = unknown {
+            let all: Vec<&str> = self.endpoints.keys().map(String::as_str).collect();
+            return Err(format!("no server {name:?}; there are {}", all.join(", ")));
+        }
+        let near = |name: &&String| self.roster.lines[*name].zone == zone.unwrap_or_default();
+        let zone = self.endpoints.keys().filter(near).cloned();
+        Ok(servers.iter().cloned().chain(zone).collect())
+    }
+}
+
+async fn endpoint(
+    name: &str,
+    like: &crate::day::Endpoints,
+    work: HashMap<String, f64>,
+    limits: &Limits,
+    tap: &Tap,
+) -> std::io::Result<Endpoint> {
+    let terms = EndpointTerms {
+        name: name.into(),
+        cores: like.cores,
+        speed: like.speed,
+        queue: like.queue,
+        work,
+        cold_share: limits.cold_share,
+        warm_within: limits.warm_within,
+        cold_multiple: limits.cold_multiple,
+        cold_span: limits.cold_span,
+    };
+    Endpoint::start(terms, tap.clone()).await
+}
--- /dev/null
+++ b/crates/standin/src/callers.rs
@@ -0,0 +1,78 @@
+//! Callers: visits come at a rate, whatever becomes of those before, and wait as long as their
+//! patience lasts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nanorand::{Rng, WyRand};
+
+use crate::tap::{Tap, What};
+
+/// What callers of a class do.
+#[derive(Clone, Debug)]
+pub struct ClassTerms {
+    pub name: String,
+    pub patience: Duration,
+    /// Visits a second, all callers together.
+    pub rate: f64,
+}
+
+/// Calls in the name of all clients of a day.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Empty<Bytes>>,
+    ids: Arc<AtomicU64>,
+    /// The rate is so many thousandths of what is stated.
+    factor: Arc<AtomicU64>,
+    tap: Tap,
+}
+
+impl Caller {
+    pub fn new(tap: Tap) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(8).build(connector);
+        Caller { client, ids: Arc::new(AtomicU64::new(1)), factor: Arc::new(AtomicU64::new(1000)), tap }
+    }
+
+    pub fn set_factor(&self, factor: f64) {
+        self.factor.store((factor * 1000.0) as u64, Ordering::Relaxed);
+    }
+
+    /// One visit; the status is 0 where the client's patience ended first.
+    pub async fn visit(&self, to: SocketAddr, class: &ClassTerms) -> u16 {
+        let (id, asked) = (self.ids.fetch_add(1, Ordering::Relaxed), self.tap.now());
+        let visit = Request::get(format!("http://{to}/{}", class.name))
+            .header("x-visit", id)
+            .header("x-patience-ms", class.patience.as_millis() as u64)
+            .body(Empty::new());
+        let Ok(visit) = visit else { return 0 };
+        let answer = tokio::time::timeout(class.patience, self.client.request(visit)).await;
+        let status = answer.ok().and_then(Result::ok).map_or(0, |answer| answer.status().as_u16());
+        self.tap.put(What::Visit { visit: id, class: class.name.clone(), asked, status });
+        status
+    }
+}
+
+/// Visits of a class at random times, spread over these relays, until the given time.
+pub async fn call_on(caller: Caller, class: ClassTerms, relays: Vec<SocketAddr>, seed: u64, until: Duration) {
+    let mut chance = WyRand::new_seed(seed);
+    let mut at = caller.tap.now();
+    while at < until && !relays.is_empty() {
+        let draw = (f64::from(chance.generate::<u32>()) + 1.0) / (f64::from(u32::MAX) + 1.0);
+        let rate = class.rate * caller.factor.load(Ordering::Relaxed) as f64 / 1000.0;
+        at += Duration::from_secs_f64((-draw.ln() / rate.max(1e-3)).min(1.0));
+        tokio::time::sleep(at.saturating_sub(caller.tap.now())).await;
+        let to = relays[chance.generate_range(0..relays.len())];
+        let (caller, class) = (caller.clone(), class.clone());
+        tokio::spawn(async move { caller.visit(to, &class).await });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/tap.rs
@@ -0,0 +1,70 @@
+//! The record of what passed on the sockets.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+/// One thing that passed, with its time since the start of the day.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Record {
+    pub at: Duration,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum What {
+    /// A visit's bytes reached an endpoint; `work` is in seconds of one core at full speed.
+    Arrived { endpoint: String, relay: String, visit: u64, class: String, work: f64 },
+    /// An endpoint began to carry a visit out.
+    Ran { endpoint: String, visit: u64, class: String },
+    /// An endpoint's process started, cold; `None` if it stood from the beginning.
+    Started { endpoint: String, capacity: f64 },
+    /// An endpoint fell over under what it was sent while cold.
+    Fell { endpoint: String },
+    /// A control stream at a relay came to be, or ended.
+    Stream { relay: String, open: bool },
+    /// A relay began to stand still on its control stream, or went on.
+    Stalled { relay: String, on: bool },
+    /// A relay started with this standing table.
+    Standing { relay: String, servers: Vec<String> },
+    /// A line of orders came in at a relay.
+    Line { relay: String, commands: usize },
+    /// A relay carried out a command and gave this answer.
+    Order { relay: String, command: String, answer: String },
+    /// The list as it was written for the pilots: names with `ready`, `draining` or `gone`, and the
+    /// time of the last start.
+    Listed { servers: Vec<(String, String, Option<Duration>)> },
+    /// A visit ended for its client: asked at a time, with the status of the final answer.
+    Visit { visit: u64, class: String, asked: Duration, status: u16 },
+}
+
+/// Where all stand-ins of a day write.
+#[derive(Clone)]
+pub struct Tap {
+    start: Instant,
+    records: Arc<Mutex<Vec<Record>>>,
+}
+
+impl Default for Tap {
+    fn default() -> Self {
+        Tap { start: Instant::now(), records: Arc::default() }
+    }
+}
+
+impl Tap {
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub fn put(&self, what: What) {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        // The time is taken under the lock, so that the record is in order.
+        records.push(Record { at: self.start.elapsed(), what });
+    }
+
+    /// All that was recorded so far.
+    pub fn records(&self) -> Vec<Record> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod logic;
 mod terms;
 
+pub use ledger::{Gate, Known, Table};
 pub use logic::Pilot;
 pub use terms::{Term, Terms};
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -313,6 +313,11 @@
         self.channel.queued = Some(lines as f64);
     }
 
+    /// What is believed of each server, the tables as wanted and published, and what is let in, to be shown.
+    pub fn beliefs(&self) -> (&BTreeMap<Server, Known>, &[Table], &[Gate]) {
+        (&self.servers, &self.tables, &self.gates)
+    }
+
     pub fn next_due(&self) -> Duration {
         self.due.first().map_or(self.next_beat, |(time, _)| self.next_beat.min(*time))
     }
