--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -293,6 +293,12 @@
         self.berths.iter().map(|berth| berth.book.lines()).sum()
     }
 
+    /// Forgets the times of orders and the most lines that waited; the guide's `clear counters`.
+    pub fn clear_counters(&mut self) {
+        self.landed.reset();
+        self.sums.lines_waiting_most = 0;
+    }
+
     /// Pulls decisions until there is none, and gives out what is to be done.
     pub fn decide(&mut self, now: Duration) -> Vec<Effect> {
         self.now = now;
--- a/crates/pilot/src/station.rs
+++ b/crates/pilot/src/station.rs
@@ -38,7 +38,7 @@
     }
 }
 
-const ENTRIES: [Entry; 13] = [
+const ENTRIES: [Entry; 14] = [
     user("show info", "what this pilot is and how it fares"),
     user("show version", "the version of the program"),
     user("show stat", "counters by class, table and server, as CSV"),
@@ -54,6 +54,7 @@
     ),
     admin("set weight <b>/<s> <value>", "the same as set server <b>/<s> weight"),
     admin("set log <levels>", "levels of the logs, as info,lockcroft::order=debug"),
+    admin("clear counters", "forget the times of orders and the most lines that waited"),
     admin("reload roster", "read the roster file again now"),
 ];
 
@@ -93,6 +94,10 @@
                 Some(levels) => self.logs.set(levels).map(|()| String::new()),
                 None => Err("usage: set log <levels>".into()),
             },
+            "clear counters" => {
+                self.helm.clear_counters();
+                Ok(String::new())
+            }
             "reload roster" => {
                 self.reread.notify_one();
                 Ok("The roster will be read again.\n".into())
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -6,7 +6,7 @@
 use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StatRow, StateRow, write_stat, write_states};
 use lockcroft_runtime::{Answer, Command, Desk, Entry, Level};
 
-use crate::held::{Backend, Held, Line, STANDING};
+use crate::held::{Held, Line, STANDING};
 
 /// Backends `t0` up to this number stand in every proxy's settings, as the guide can't add one.
 pub const BACKENDS_MOST: usize = 1024;
@@ -102,7 +102,7 @@
         if backend != STANDING && number.is_none_or(|number| number >= BACKENDS_MOST) {
             return Err("No such backend.".into());
         }
-        let backend = self.backends.entry(backend.into()).or_insert_with(Backend::default);
+        let backend = self.backends.entry(backend.into()).or_default();
         if backend.line(server).is_some() {
             return Err("Already exists a server with the same name in backend.".into());
         }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -62,6 +62,8 @@
     RestartRelay,
     KillPilot,
     Load,
+    /// An operator gives the pilot this command.
+    Ask,
 }
 
 #[derive(Clone, Debug)]
@@ -76,6 +78,7 @@
     pub times: f64,
     pub after_commands: usize,
     pub notice: Duration,
+    pub command: String,
 }
 
 impl Day {
@@ -141,7 +144,8 @@
         "break-relay" => TroubleKind::BreakRelay,
         "restart-relay" => TroubleKind::RestartRelay,
         "kill-pilot" => TroubleKind::KillPilot,
-        _ => TroubleKind::Load,
+        "load" => TroubleKind::Load,
+        _ => TroubleKind::Ask,
     };
     Trouble {
         at: time(node, "at").unwrap_or_default(),
@@ -153,6 +157,7 @@
         times: number(node, "times", 1.0),
         after_commands: number(node, "after-commands", 1.0) as usize,
         notice: time(node, "notice").unwrap_or(Duration::from_secs(1)),
+        command: text(node, "command"),
     }
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,6 +2,7 @@
 //! time. Judges the five rules from what passed on the sockets, never from the pilot's own word.
 
 mod day;
+mod meter;
 mod pilot;
 mod play;
 mod roster;
@@ -11,6 +12,7 @@
 mod stage;
 
 pub use day::{Day, Trouble, TroubleKind};
+pub use meter::Load;
 pub use pilot::PilotProcess;
 pub use play::{Report, play};
 pub use rules::{Limits, Verdict, judge};
--- a/crates/rehearsal/src/pilot.rs
+++ b/crates/rehearsal/src/pilot.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -14,14 +16,16 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// The process of now; 0 for none.
+    id: Arc<AtomicU32>,
 }
 
 impl PilotProcess {
     /// # Errors
     /// The program can't be started.
     pub fn start(program: &Path, settings: &Path, log: &Path) -> io::Result<Self> {
-        let mut pilot =
-            PilotProcess { program: program.into(), settings: settings.into(), log: log.into(), child: None };
+        let (program, settings, log) = (program.into(), settings.into(), log.into());
+        let mut pilot = PilotProcess { program, settings, log, child: None, id: Arc::default() };
         pilot.again()?;
         Ok(pilot)
     }
@@ -35,16 +39,20 @@
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.program);
         command.arg("serve").arg(&self.settings).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        self.child = Some(command.spawn()?);
+        let child = command.spawn()?;
+        self.id.store(child.id(), Ordering::Relaxed);
+        self.child = Some(child);
         Ok(())
     }
 
-    pub fn id(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
+    /// The number of the process, as it is at any time; 0 while there is none.
+    pub fn watch(&self) -> Arc<AtomicU32> {
+        self.id.clone()
     }
 
     /// Outright, as a machine that is lost.
     pub fn kill(&mut self) {
+        self.id.store(0, Ordering::Relaxed);
         if let Some(mut child) = self.child.take() {
             // It may have ended by itself.
             let _ = child.kill();
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::day::{Day, Trouble, TroubleKind};
+use crate::meter::{Load, Meter};
 use crate::pilot::PilotProcess;
 use crate::rules::{Verdict, judge};
 use crate::score::{Score, score};
@@ -21,6 +22,7 @@
     pub score: Score,
     /// The pilot's `show info` at the end; for people, not for the verdicts.
     pub pilot: Vec<String>,
+    pub load: Load,
     pub exit: Option<i32>,
     pub records: Vec<Record>,
 }
@@ -47,6 +49,11 @@
         for (class, share) in classes {
             writeln!(out, "  {class}: {share:.3}")?;
         }
+        writeln!(out, "{}", self.load)?;
+        for name in ["OrderMsP50", "OrderMsP99", "OrderMsMost", "LinesWaitingMost", "Lines", "Messages"] {
+            let line = self.pilot.iter().find(|line| line.starts_with(&format!("{name}:")));
+            line.map_or(Ok(()), |line| writeln!(out, "  {line}"))?;
+        }
         let broken: Vec<&str> = self.verdicts.iter().filter(|v| !v.kept()).map(|v| v.rule).collect();
         match broken.is_empty() {
             true => write!(out, "rules kept"),
@@ -88,29 +95,40 @@
     steps.sort_by_key(|step| step.at);
     let pilot = PilotProcess::start(program, &stage.settings, &folder.join("pilot.log"));
     let mut pilot = pilot.map_err(|e| format!("{}: {e}", program.display()))?;
+    let meter = Meter::start(pilot.watch(), stage.tap.clone());
     let caller = Caller::new(stage.tap.clone());
     call(day, &stage, &caller);
     for step in steps.iter().filter(|step| step.at < day.length) {
         tokio::time::sleep(step.at.saturating_sub(stage.tap.now())).await;
         tell(&format!("{:5.1} s: {:?} {:?}", step.at.as_secs_f64(), step.trouble.kind, step.phase));
         act(step, &mut stage, &mut pilot, &caller)?;
+        if step.trouble.kind == TroubleKind::Ask && step.phase == Phase::Begins {
+            let answer = ask_pilot(&stage, &step.trouble.command).await;
+            tell(answer.trim());
+        }
     }
     tokio::time::sleep(day.length.saturating_sub(stage.tap.now())).await;
     // The last visits end within their patience.
     tokio::time::sleep(patience(&stage)).await;
-    let socket = Address::Unix(stage.socket.clone());
-    let info = ask(&socket, "show info", Duration::from_secs(2)).await.unwrap_or_else(|e| e.to_string());
+    let info = ask_pilot(&stage, "show info").await;
+    let load = meter.read();
     let exit = pilot.end(Duration::from_secs(5));
     let records = stage.tap.records();
     Ok(Report {
         verdicts: judge(&records, &stage.limits),
         score: score(&records, &stage.post.terms),
         pilot: info.lines().filter(|line| !line.is_empty()).map(String::from).collect(),
+        load,
         exit,
         records,
     })
 }
 
+async fn ask_pilot(stage: &Stage, command: &str) -> String {
+    let socket = Address::Unix(stage.socket.clone());
+    ask(&socket, command, Duration::from_secs(2)).await.unwrap_or_else(|e| e.to_string())
+}
+
 fn patience(stage: &Stage) -> Duration {
     let terms = &stage.post.terms;
     let spans = (0..stage.limits.classes.len()).map(|i| terms.span(&format!("classes.{i}.patience_us")));
@@ -163,7 +181,7 @@
             relays.iter().for_each(|relay| relay.stall(Stall::Break(trouble.after_commands)));
         }
         TroubleKind::RestartRelay if begins => relays.iter().for_each(|relay| relay.restart()),
-        TroubleKind::StallRelay | TroubleKind::BreakRelay | TroubleKind::RestartRelay => {}
+        TroubleKind::StallRelay | TroubleKind::BreakRelay | TroubleKind::RestartRelay | TroubleKind::Ask => {}
         TroubleKind::KillPilot if begins => pilot.kill(),
         TroubleKind::KillPilot => pilot.again().map_err(|e| e.to_string())?,
         TroubleKind::Load => caller.set_factor(if begins { trouble.times } else { 1.0 }),
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -11,11 +11,14 @@
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use nanorand::{Rng, WyRand};
 
 use crate::tap::{Tap, What};
 
+/// Connections to relays that are not used for so long are closed.
+const IDLE: Duration = Duration::from_secs(2);
+
 /// What callers of a class do.
 #[derive(Clone, Debug)]
 pub struct ClassTerms {
@@ -39,7 +42,7 @@
     pub fn new(tap: Tap) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(8).build(connector);
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(8).pool_idle_timeout(IDLE).pool_timer(TokioTimer::new()).build(connector);
         Caller { client, ids: Arc::new(AtomicU64::new(1)), factor: Arc::new(AtomicU64::new(1000)), tap }
     }
 
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -98,7 +98,7 @@
             state.life += 1;
         }
         state.mode = mode;
-        let _ = self.changed.send_replace(());
+        self.changed.send_replace(());
     }
 
     /// A new process in the place of one that is gone: well, and cold.
@@ -108,7 +108,7 @@
         state.came.clear();
         let capacity = self.terms.cores as f64 * self.terms.speed;
         self.tap.put(What::Started { endpoint: self.terms.name.clone(), capacity });
-        let _ = self.changed.send_replace(());
+        self.changed.send_replace(());
     }
 
     pub fn mode(&self) -> Mode {
@@ -224,7 +224,7 @@
             if state.came.iter().map(|(_, work)| work).sum::<f64>() > most {
                 (state.mode, state.life) = (Mode::Down, state.life + 1);
                 self.tap.put(What::Fell { endpoint: self.terms.name.clone() });
-                let _ = self.changed.send_replace(());
+                self.changed.send_replace(());
             }
         }
         state.mode
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use lockcroft_proxy::{Ending, Held, Limits, may_try_again};
 use lockcroft_runtime::{After, Command, Feed, Level, Session};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,6 +22,9 @@
 
 use crate::tap::{Tap, What};
 
+/// Connections to endpoints that are not used for so long are closed.
+const IDLE: Duration = Duration::from_secs(1);
+
 /// How a relay is built.
 #[derive(Clone, Debug)]
 pub struct RelayTerms {
@@ -33,7 +36,7 @@
     pub try_most: Duration,
 }
 
-/// What a relay does on its control stream with the next line of orders.
+/// What a relay does on its control stream with the next line of orders that has more commands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stall {
     /// After so many commands it stands still for so long, then goes on.
@@ -71,7 +74,7 @@
             terms: Arc::new(terms),
             stall: Arc::default(),
             restarted: Arc::new(Notify::new()),
-            client: Client::builder(TokioExecutor::new()).pool_max_idle_per_host(4).build(connector),
+            client: Client::builder(TokioExecutor::new()).pool_max_idle_per_host(4).pool_idle_timeout(IDLE).pool_timer(TokioTimer::new()).build(connector),
             tap,
         };
         tokio::spawn(relay.clone().take_orders(control));
@@ -114,8 +117,11 @@
         let (mut feed, mut session) = (Feed::default(), Session::new(Level::Admin));
         loop {
             while let Ok(Some(commands)) = feed.next_line() {
-                let orders = commands.iter().any(|command| changes(command));
-                let stall = if orders { lock(&self.stall).take() } else { None };
+                let orders = commands.iter().any(changes);
+                let long = |stall: &mut Stall| match *stall {
+                    Stall::Still(after, _) | Stall::Break(after) => commands.len() > after,
+                };
+                let stall = if orders { lock(&self.stall).take_if(long) } else { None };
                 if orders {
                     self.tap.put(What::Line { relay: self.terms.name.clone(), commands: commands.len() });
                 }
