Let withdrawals end where all servers came back at once; index proxies by table

Cause: a property test of the daemon's helm found two ways in which the module left proxies without a line: a join in the moment in which a withdrawn server returns lost the end of its withdrawal; and where all servers drained in the hold and came back, withdrawals waited for binding and binding for a line. Change: what must be told again is remembered apart; lines of servers that are back go first where a table is bare. Both with a test of the module and of the helm.

--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -88,6 +88,8 @@
     pub(crate) queue_most: f64,
     pub(crate) wave: u64,
     touched: BTreeSet<Proxy>,
+    /// Joined proxies by the tables that they were put on.
+    on: BTreeMap<TableNumber, BTreeSet<Proxy>>,
     effects: VecDeque<Effect>,
     /// The times that are not the decisions' own, in one order.
     due: BTreeSet<(Duration, Timer)>,
@@ -123,6 +125,7 @@
             queue_most: post.terms.limit("fleet.queue_most_lines"),
             wave: 1,
             touched: BTreeSet::new(),
+            on: BTreeMap::new(),
             due: BTreeSet::new(),
             chance: WyRand::new_seed(post.seed),
             report_period: post.terms.span("fleet.report_period_us").max(Duration::from_millis(100)),
@@ -196,6 +199,9 @@
             self.events.add(now, self.wave, &format!("proxy {name} left: {why}"));
         }
         if joined {
+            for proxies in self.on.values_mut() {
+                proxies.remove(&proxy);
+            }
             self.pilot.left(proxy);
         }
         self.effects.push_back(Effect::Close { proxy });
@@ -365,13 +371,14 @@
                     lines.remove(&server)
                 };
                 self.say_decided(now, &format!("t{table}: {} weighs {weight}", self.list.name(server)));
-                self.each(|_, book| book.weigh(table, server, now, wave));
+                self.each_on(table, |book| book.weigh(table, server, now, wave));
             }
             Decision::Bind { table, classes, proxy } => {
                 self.say_decided(now, &format!("t{table}: bind proxy {}", self.berths[proxy].at.name));
                 let Berth { stage, book, .. } = &mut self.berths[proxy];
                 if *stage == Stage::Joined {
                     book.bind(table, &classes, &self.published, now, wave);
+                    self.on.entry(table).or_default().insert(proxy);
                     self.touched.insert(proxy);
                 }
             }
@@ -383,7 +390,7 @@
                     set.remove(&server)
                 };
                 self.say_decided(now, &format!("withdraw {}: {withdrawn}", self.list.name(server)));
-                self.each(|_, book| book.withdraw(server, now, wave));
+                self.each(|book| book.withdraw(server, now, wave));
             }
             Decision::Admit { table, class, share, second_try } => {
                 let sheet = self.published.tables.entry(table).or_default();
@@ -391,7 +398,7 @@
                 let name = &self.places.classes[class];
                 let again = if second_try { ", second tries" } else { "" };
                 self.say_decided(now, &format!("t{table}: {name} let in {share}{again}"));
-                self.each(|_, book| book.admit(table, class, now, wave));
+                self.each_on(table, |book| book.admit(table, class, now, wave));
             }
             Decision::Note { about, text } => {
                 let text = about.map_or(text.clone(), |server| format!("{} {text}", self.list.name(server)));
@@ -406,15 +413,23 @@
         self.events.add(now, self.wave, text);
     }
 
-    fn each(&mut self, mut act: impl FnMut(Proxy, &mut Book)) {
+    fn each(&mut self, mut act: impl FnMut(&mut Book)) {
         for (proxy, berth) in self.berths.iter_mut().enumerate() {
             if berth.stage == Stage::Joined {
-                act(proxy, &mut berth.book);
+                act(&mut berth.book);
                 self.touched.insert(proxy);
             }
         }
     }
 
+    /// Proxies on a table: of a large fleet few, which is why they are looked up and not sought.
+    fn each_on(&mut self, table: TableNumber, mut act: impl FnMut(&mut Book)) {
+        for proxy in self.on.get(&table).into_iter().flatten() {
+            act(&mut self.berths[*proxy].book);
+            self.touched.insert(*proxy);
+        }
+    }
+
     /// All that was decided at one time goes out as one message to each proxy concerned; one that
     /// has not answered its last message gets the next with its answer.
     fn send(&mut self, now: Duration) {
@@ -438,7 +453,6 @@
 
     /// Proxies whose streams stand, by table.
     pub fn joined_on(&self, table: TableNumber) -> usize {
-        let joined = self.berths.iter().filter(|berth| berth.stage == Stage::Joined);
-        joined.filter(|berth| berth.book.on(table)).count()
+        self.on.get(&table).map_or(0, BTreeSet::len)
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/orders/main.rs
@@ -0,0 +1,5 @@
+//! What proxies are told, and what they hold in the end, in the troubles that streams have.
+
+mod converge;
+mod stage;
+mod troubles;
--- /dev/null
+++ b/crates/fleet/tests/orders/stage.rs
@@ -0,0 +1,233 @@
+//! A helm among proxies that speak the real dialect, in made-up time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
+use std::path::Path;
+use std::time::{Duration, SystemTime};
+
+use lockcroft::{Finding, Listed, Server};
+use lockcroft_fleet::{Effect, Helm};
+use lockcroft_proxy::{Held, Limits, STANDING};
+use lockcroft_runtime::{Answers, Feed, Level, Session};
+use lockcroft_terms::{Document, Entry, Post, Roster, SCHEMA};
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+const SETTINGS: &str = r#"<lockcroft>
+  <pilot seed="3" answer-within="1s" redial-least="200ms" redial-most="2s"/>
+  <zones><zone name="north"/></zones>
+  <kinds><kind name="std"/></kinds>
+  <classes><class name="look-up" contract-time="1s" patience="2s" earnings="1"/></classes>
+  <fleet report-period="1s" message-delay="10ms" message-head-lines="1" channel-lines-per-s="8000"
+    queue-most-lines="{QUEUE}"/>
+  <rules unserved-most="2s" drain-grace="2s" cold-share="0.25" warm-within="10s" cold-multiple="3" cold-span="2s"/>
+  <proxies>{PROXIES}</proxies><roster/>
+</lockcroft>"#;
+
+/// A proxy behind a stream that may hold answers back, or break.
+pub struct Peer {
+    pub held: Held,
+    feed: Feed,
+    session: Session,
+    pub stream: Option<u64>,
+    /// Orders are taken up and carried out, but no answer goes back.
+    pub silent: bool,
+    /// Streams can't be made.
+    pub away: bool,
+    answers: VecDeque<String>,
+}
+
+pub struct Stage {
+    pub helm: Helm,
+    pub now: Duration,
+    pub peers: Vec<Peer>,
+    pub roster: Roster,
+    /// How probes end, where not well.
+    pub findings: BTreeMap<Server, Finding>,
+    pub trace: String,
+    /// Dials that wait.
+    later: VecDeque<(Duration, Effect)>,
+}
+
+impl Stage {
+    pub fn new(servers: usize, proxies: usize) -> Self {
+        Stage::with(servers, proxies, 8000)
+    }
+
+    pub fn with(servers: usize, proxies: usize, queue: usize) -> Self {
+        let line =
+            |i: usize| format!("<proxy name=\"r{i}\" zone=\"north\" address=\"127.0.0.1:{}\"/>", 1000 + i);
+        let lines: String = (0..proxies).map(line).collect();
+        let text = SETTINGS.replace("{PROXIES}", &lines).replace("{QUEUE}", &queue.to_string());
+        let document = Document::new(Path::new("test.xml"), text, SCHEMA).expect("sound");
+        let post = Post::read(&document).expect("sound");
+        let entries: Vec<Entry> = (0..servers).map(entry).collect();
+        let standing: Vec<_> = entries.iter().map(|entry| (entry.name.clone(), entry.address)).collect();
+        let peer = |i: usize| Peer {
+            held: Held::new(
+                &format!("r{i}"),
+                &["look-up".to_string()],
+                &standing,
+                Limits { shuns_after: 0, shuns_for: ms(0) },
+            ),
+            feed: Feed::default(),
+            session: Session::new(Level::Admin),
+            stream: None,
+            silent: false,
+            away: false,
+            answers: VecDeque::new(),
+        };
+        let mut stage = Stage {
+            helm: Helm::new(&post),
+            now: ms(0),
+            peers: (0..proxies).map(peer).collect(),
+            roster: Roster { version: 0, entries },
+            findings: BTreeMap::new(),
+            trace: String::new(),
+            later: VecDeque::new(),
+        };
+        stage.list();
+        stage
+    }
+
+    /// Tells the list as it is now.
+    pub fn list(&mut self) {
+        self.helm.listed(self.now, SystemTime::UNIX_EPOCH + self.now, self.roster.clone());
+        self.roster.version += 1;
+    }
+
+    pub fn state(&mut self, server: usize, state: Listed) {
+        self.roster.entries[server].state = state;
+        self.list();
+    }
+
+    /// The stream to a proxy breaks; what it was told it holds.
+    pub fn cut(&mut self, proxy: usize) {
+        self.peers[proxy].answers.clear();
+        if let Some(stream) = self.peers[proxy].stream.take() {
+            self.helm.broken(self.now, proxy, stream, "cut");
+        }
+    }
+
+    pub fn run_to(&mut self, millis: u64) -> &mut Self {
+        let end = ms(millis);
+        loop {
+            let mut effects: VecDeque<Effect> = self.helm.decide(self.now).into();
+            self.later.retain(|(at, effect)| {
+                let due = *at <= self.now;
+                effects.extend(due.then(|| effect.clone()));
+                !due
+            });
+            while let Some(effect) = effects.pop_front() {
+                match effect {
+                    Effect::Dial { proxy, stream, after } if after > ms(0) => {
+                        self.later
+                            .push_back((self.now + after, Effect::Dial { proxy, stream, after: ms(0) }));
+                    }
+                    effect => self.carry_out(effect),
+                }
+            }
+            let spoke = self.deliver();
+            if spoke {
+                continue;
+            }
+            let first = self.later.iter().map(|(at, _)| *at).min().unwrap_or(Duration::MAX);
+            let next = self.helm.next_due().min(first).max(self.now + ms(1));
+            if next > end {
+                break;
+            }
+            self.now = next;
+        }
+        self.now = end;
+        self
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Probe { server, .. } => {
+                let finding = self.findings.get(&server).copied().unwrap_or(Finding::Passed(None));
+                self.helm.probed(self.now, server, finding, ms(1));
+            }
+            Effect::Dial { proxy, stream, .. } if self.peers[proxy].away => {
+                self.helm.broken(self.now, proxy, stream, "refused");
+            }
+            Effect::Dial { proxy, stream, .. } => {
+                let peer = &mut self.peers[proxy];
+                (peer.stream, peer.feed, peer.session) =
+                    (Some(stream), Feed::default(), Session::new(Level::Admin));
+                self.helm.connected(self.now, proxy, stream);
+            }
+            // What was meant for a stream that is gone by now goes nowhere.
+            Effect::Write { proxy, stream, .. } if self.peers[proxy].stream != Some(stream) => {}
+            Effect::Write { proxy, text, .. } => {
+                self.peers[proxy].feed.push(text.as_bytes());
+                while let Ok(Some(commands)) = self.peers[proxy].feed.next_line() {
+                    let peer = &mut self.peers[proxy];
+                    let mut out = String::new();
+                    peer.session.line(&commands, &mut peer.held, &mut out);
+                    peer.answers.push_back(out);
+                    for command in commands.iter().filter(|command| command.word(0) != Some("show")) {
+                        let at = self.now.as_secs_f64();
+                        writeln!(self.trace, "{at:.1} r{proxy}: {}", command.text())
+                            .expect("a string takes all");
+                    }
+                }
+            }
+            Effect::Close { proxy } => self.peers[proxy].stream = None,
+        }
+    }
+
+    /// Whether any proxy had something to say.
+    fn deliver(&mut self) -> bool {
+        let mut spoke = false;
+        for proxy in 0..self.peers.len() {
+            let peer = &mut self.peers[proxy];
+            let (Some(stream), false) = (peer.stream, peer.silent) else { continue };
+            let mut answers = Answers::default();
+            while let Some(out) = peer.answers.pop_front() {
+                answers.push(out.as_bytes());
+            }
+            while let Some(answer) = answers.next_answer() {
+                spoke = true;
+                self.helm.answered(self.now, proxy, stream, &answer);
+            }
+        }
+        spoke
+    }
+
+    pub fn quiet(&mut self) -> &mut Self {
+        self.trace.clear();
+        self
+    }
+
+    /// The orders in the trace, those that ask to stay connected left out.
+    pub fn orders(&mut self) -> String {
+        let lines = self.trace.lines().filter(|line| !line.contains("prompt"));
+        lines.fold(String::new(), |all, line| all + line + "\n")
+    }
+
+    /// Weight by server that a proxy may really pick, for its one class.
+    pub fn picks(&self, proxy: usize) -> Vec<(String, u32)> {
+        let held = &self.peers[proxy].held;
+        let backend = held.map.get("look-up").map_or(STANDING, String::as_str);
+        let lines = held.backends.get(backend).map(|backend| backend.lines.as_slice()).unwrap_or_default();
+        let open = lines.iter().filter(|line| line.open());
+        let mut picks: Vec<_> = open.map(|line| (line.name.clone(), line.weight)).collect();
+        picks.sort();
+        picks
+    }
+}
+
+pub fn entry(server: usize) -> Entry {
+    Entry {
+        name: format!("e{server}"),
+        zone: 0,
+        kind: 0,
+        address: format!("127.0.0.1:{}", 9000 + server).parse().expect("an address"),
+        state: Listed::Ready,
+        weight: 1.0,
+        started: None,
+    }
+}
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -6,11 +6,16 @@
 use lockcroft_terms::{Document, Faults, span};
 use roxmltree::Node;
 
+/// Each decision with its orders and answers.
+const LOG: &str = "info,lockcroft::decision=debug,lockcroft::order=debug,lockcroft::answer=debug";
+
 /// A scripted day.
 #[derive(Clone, Debug)]
 pub struct Day {
     pub length: Duration,
     pub seed: u64,
+    /// The levels of the pilot's logs.
+    pub log: String,
     /// The part of a settings file from `zones` to `allowed`, as it stands.
     pub terms: String,
     pub endpoints: Vec<Endpoints>,
@@ -122,6 +127,7 @@
         Ok(Day {
             length: time(root, "length").unwrap_or_default(),
             seed: number(root, "seed", 1.0) as u64,
+            log: root.attribute("log").unwrap_or(LOG).into(),
             terms,
             endpoints: endpoints.collect(),
             relays: relays.expect("the schema wants relays"),
--- a/crates/rehearsal/src/meter.rs
+++ b/crates/rehearsal/src/meter.rs
@@ -27,7 +27,10 @@
         let most = self.samples.iter().map(|(_, _, held)| *held).fold(0.0, f64::max);
         let middle = cores.get(cores.len() / 2).copied().unwrap_or(0.0);
         let peak = cores.last().copied().unwrap_or(0.0);
-        write!(out, "pilot: {middle:.2} cores (median second), {peak:.2} (worst second), {most:.0} MB at most")
+        write!(
+            out,
+            "pilot: {middle:.2} cores (median second), {peak:.2} (worst second), {most:.0} MB at most"
+        )
     }
 }
 
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -26,11 +26,11 @@
 }
 
 /// A whole settings file from the day's terms.
-pub fn settings(terms: &str, seed: u64, socket: &Path, proxies: &str, roster: &str) -> String {
+pub fn settings(day: &Day, socket: &Path, proxies: &str, roster: &str) -> String {
+    let Day { seed, log, terms, .. } = day;
     format!(
         "<lockcroft>\n<pilot name=\"rehearsed\" seed=\"{seed}\"/>\n\
-         <runtime><listen address=\"unix:{}\" level=\"admin\"/></runtime>\n\
-         <log levels=\"info,lockcroft::decision=debug,lockcroft::order=debug,lockcroft::answer=debug\"/>\n\
+         <runtime><listen address=\"unix:{}\" level=\"admin\"/></runtime>\n<log levels=\"{log}\"/>\n\
          {terms}<proxies>\n{proxies}</proxies>\n{roster}\n</lockcroft>\n",
         socket.display()
     )
@@ -44,7 +44,7 @@
     pub async fn build(day: &Day, folder: &Path) -> Result<Self, String> {
         let (socket, path) = (folder.join("pilot.sock"), folder.join("pilot.xml"));
         let io = |e: std::io::Error| e.to_string();
-        fs::write(&path, settings(&day.terms, day.seed, &socket, "", "<roster/>")).map_err(io)?;
+        fs::write(&path, settings(day, &socket, "", "<roster/>")).map_err(io)?;
         let post = Post::open(&path).map_err(|faults| faults.to_string())?;
         let (limits, tap) = (Limits::read(&post.terms), Tap::default());
         let mut endpoints = BTreeMap::new();
@@ -94,7 +94,7 @@
         let mut roster = RosterFile::new(folder.join("roster.xml"), lines, tap.clone());
         roster.write().map_err(io)?;
         let file = "<roster-file path=\"roster.xml\" look-every=\"100ms\"/>";
-        fs::write(&path, settings(&day.terms, day.seed, &socket, &proxies, file)).map_err(io)?;
+        fs::write(&path, settings(day, &socket, &proxies, file)).map_err(io)?;
         let post = Post::open(&path).map_err(|faults| faults.to_string())?;
         Ok(Stage { endpoints, relays, roster, settings: path, socket, post, limits, tap })
     }
--- /dev/null
+++ b/crates/rehearsal/tests/rules.rs
@@ -0,0 +1,157 @@
+//! For each rule a record that breaks it: the checker must find it, and let the sound one pass.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lockcroft_rehearsal::{Limits, Verdict, judge};
+use lockcroft_standin::{Record, What};
+
+fn limits() -> Limits {
+    Limits {
+        classes: vec!["look".into()],
+        once: vec!["look".into()],
+        unserved_most: Duration::from_secs(2),
+        drain_grace: Duration::from_secs(2),
+        only_draining_binds: false,
+        cold_share: 0.5,
+        warm_within: Duration::from_secs(10),
+        cold_multiple: 2.0,
+        cold_span: Duration::from_secs(1),
+        queue_most: 10.0,
+        messages_most: 3.0,
+        messages_span: Duration::from_secs(10),
+    }
+}
+
+fn at(seconds: f64, what: What) -> Record {
+    Record { at: Duration::from_secs_f64(seconds), what }
+}
+
+fn listed(states: &[(&str, &str)]) -> What {
+    let servers = states.iter().map(|(name, state)| ((*name).into(), (*state).into(), None)).collect();
+    What::Listed { servers }
+}
+
+fn order(command: &str) -> What {
+    What::Order { relay: "r".into(), command: command.into(), answer: String::new() }
+}
+
+fn arrived(endpoint: &str, visit: u64, work: f64) -> What {
+    What::Arrived { endpoint: endpoint.into(), relay: "r".into(), visit, class: "look".into(), work }
+}
+
+fn ran(endpoint: &str, visit: u64) -> What {
+    What::Ran { endpoint: endpoint.into(), visit, class: "look".into() }
+}
+
+fn stream(open: bool) -> What {
+    What::Stream { relay: "r".into(), open }
+}
+
+fn line(commands: usize) -> What {
+    What::Line { relay: "r".into(), commands }
+}
+
+/// A relay that holds e1 and e2 and follows a pilot from 1 s on.
+fn opening() -> Vec<Record> {
+    vec![
+        at(0.0, listed(&[("e1", "ready"), ("e2", "ready")])),
+        at(0.0, What::Standing { relay: "r".into(), servers: vec!["e1".into(), "e2".into()] }),
+        at(1.0, stream(true)),
+    ]
+}
+
+/// What is broken, after the opening and these.
+fn broken(more: &[Record]) -> Vec<&'static str> {
+    let records: Vec<Record> = opening().into_iter().chain(more.iter().cloned()).collect();
+    let verdicts = judge(&records, &limits());
+    let broken: BTreeMap<&str, Verdict> =
+        verdicts.into_iter().filter(|verdict| !verdict.kept()).map(|v| (v.rule, v)).collect();
+    assert!(broken.values().all(|verdict| !verdict.at.is_empty()), "it says where");
+    broken.into_keys().collect()
+}
+
+#[test]
+fn a_sound_day_breaks_nothing() {
+    let day = [
+        at(2.0, arrived("e1", 1, 0.1)),
+        at(2.0, ran("e1", 1)),
+        at(3.0, line(1)),
+        at(3.0, order("set server standing/e1 state maint")),
+        at(3.0, listed(&[("e1", "draining"), ("e2", "ready")])),
+        at(4.9, arrived("e1", 2, 0.1)),
+        at(9.0, ran("e2", 2)),
+    ];
+    assert_eq!(broken(&day), Vec::<&str>::new());
+}
+
+#[test]
+fn a_relay_without_a_line_is_found() {
+    let off = |server: &str| order(&format!("set server standing/{server} state maint"));
+    let on = order("set server standing/e1 state ready");
+    assert_eq!(broken(&[at(3.0, off("e1")), at(3.0, off("e2")), at(5.5, on.clone())]), ["endpoint for all"]);
+    assert_eq!(broken(&[at(3.0, off("e1")), at(3.0, off("e2")), at(4.5, on)]), Vec::<&str>::new());
+    // To the end of the day; a weight of 0, or a class sent to an empty backend, is no line either.
+    let none = order("set server standing/e1 weight 0");
+    assert_eq!(
+        broken(&[at(3.0, none), at(3.0, off("e2")), at(5.5, listed(&[("e1", "ready")]))]),
+        ["endpoint for all"]
+    );
+    let bind = order("set map classes look t7");
+    assert_eq!(broken(&[at(3.0, bind), at(5.5, ran("e1", 1))]), ["endpoint for all"]);
+}
+
+#[test]
+fn no_line_is_owed_where_no_server_is_open_or_nobody_follows() {
+    let bind = order("set map classes look t7");
+    let gone = listed(&[("e1", "gone"), ("e2", "draining")]);
+    assert_eq!(broken(&[at(2.9, gone), at(3.0, bind.clone()), at(9.0, ran("e1", 1))]), Vec::<&str>::new());
+    assert_eq!(broken(&[at(2.9, stream(false)), at(3.0, bind), at(9.0, ran("e1", 1))]), Vec::<&str>::new());
+}
+
+#[test]
+fn an_effect_that_happens_twice_is_found() {
+    assert_eq!(broken(&[at(2.0, ran("e1", 7)), at(3.0, ran("e2", 7))]), ["no effect twice"]);
+}
+
+#[test]
+fn a_visit_to_a_drained_server_is_found() {
+    let drains = listed(&[("e1", "draining"), ("e2", "ready")]);
+    let removed = listed(&[("e2", "ready")]);
+    assert_eq!(broken(&[at(3.0, drains.clone()), at(5.2, arrived("e1", 1, 0.0))]), ["drains kept"]);
+    assert_eq!(broken(&[at(3.0, removed), at(5.2, arrived("e1", 1, 0.0))]), ["drains kept"]);
+    // The time runs from the joining where that is later, and ends with the drain.
+    let again = [
+        at(2.0, stream(false)),
+        at(3.0, drains.clone()),
+        at(5.0, stream(true)),
+        at(6.9, arrived("e1", 1, 0.0)),
+    ];
+    assert_eq!(broken(&again), Vec::<&str>::new());
+    let over = [at(3.0, drains), at(4.0, opening()[0].what.clone()), at(9.0, arrived("e1", 1, 0.0))];
+    assert_eq!(broken(&over), Vec::<&str>::new());
+}
+
+#[test]
+fn a_cold_server_that_is_sent_too_much_is_found() {
+    let started = What::Started { endpoint: "e1".into(), capacity: 1.0 };
+    // At half its capacity and twice that, one second holds one second of work.
+    let heavy = [at(2.0, started.clone()), at(2.1, arrived("e1", 1, 0.6)), at(2.5, arrived("e1", 2, 0.6))];
+    assert_eq!(broken(&heavy), ["no cold pushed over"]);
+    let spread = [at(2.0, started.clone()), at(2.1, arrived("e1", 1, 0.6)), at(3.5, arrived("e1", 2, 0.6))];
+    assert_eq!(broken(&spread), Vec::<&str>::new());
+    assert_eq!(
+        broken(&[at(2.0, started), at(2.1, What::Fell { endpoint: "e1".into() })]),
+        ["no cold pushed over"]
+    );
+}
+
+#[test]
+fn too_many_lines_or_messages_are_found() {
+    assert_eq!(broken(&[at(2.0, line(11))]), ["short queue"]);
+    let done: Vec<Record> = (0..8).map(|_| at(2.1, order("set var proc.x int(1)"))).collect();
+    let fits: Vec<Record> = [vec![at(2.0, line(8))], done, vec![at(2.2, line(8))]].concat();
+    assert_eq!(broken(&fits), Vec::<&str>::new());
+    let many: Vec<Record> = (0..4).map(|n| at(2.0 + f64::from(n), line(1))).collect();
+    assert_eq!(broken(&many), ["few messages"]);
+}
--- /dev/null
+++ b/crates/runtime/tests/codec.rs
@@ -0,0 +1,187 @@
+//! Lines in, answers out: in pieces of any size, malformed, too long.
+
+use lockcroft_runtime::sheets::{StatRow, StateRow, read_stat, read_states, write_stat, write_states};
+use lockcroft_runtime::{
+    After, Answer, Answers, Command, Desk, Entry, Feed, LINE_MOST, Level, Overlong, Session, escaped, split,
+};
+use proptest::prelude::*;
+
+/// Says back what it was told.
+struct Echo;
+
+const ENTRIES: [Entry; 2] = [
+    Entry { words: "show echo [<word>]", level: Level::User, help: "say it" },
+    Entry { words: "set echo <word>", level: Level::Admin, help: "say it loud" },
+];
+
+impl Desk for Echo {
+    fn entries(&self) -> &'static [Entry] {
+        &ENTRIES
+    }
+
+    fn answer(&mut self, _: &Entry, command: &Command) -> Answer {
+        Answer::Text(format!(
+            "{}{}",
+            command.words[2..].join("|"),
+            command.payload.clone().unwrap_or_default()
+        ))
+    }
+}
+
+fn talk(level: Level, text: &str) -> (String, After) {
+    let (mut feed, mut session, mut out) = (Feed::default(), Session::new(level), String::new());
+    feed.push(text.as_bytes());
+    let mut after = After::Stay;
+    while let Ok(Some(commands)) = feed.next_line() {
+        after = session.line(&commands, &mut Echo, &mut out);
+        if after != After::Stay {
+            break;
+        }
+    }
+    (out, after)
+}
+
+#[test]
+fn one_line_of_commands_and_then_the_end() {
+    assert_eq!(talk(Level::User, "show echo a; show echo b\\ c\n"), ("a\n\nb c\n\n".into(), After::Close));
+    assert_eq!(talk(Level::User, "\n"), ("\n".into(), After::Close));
+}
+
+#[test]
+fn prompt_mode_stays() {
+    assert_eq!(talk(Level::User, "prompt\nshow echo a\n"), ("\n> a\n\n> ".into(), After::Stay));
+    assert_eq!(talk(Level::User, "prompt i\nshow echo a\n"), ("\na\n\n".into(), After::Stay));
+    assert_eq!(talk(Level::User, "prompt i\nprompt n\nshow echo a\n").1, After::Close);
+    assert_eq!(talk(Level::User, "prompt\nquit\n").1, After::Close);
+}
+
+#[test]
+fn levels_are_kept_and_only_lowered() {
+    assert_eq!(talk(Level::Operator, "set echo x\n").0, "Permission denied\n\n");
+    assert_eq!(talk(Level::Admin, "set echo x\n").0, "x\n\n");
+    assert_eq!(talk(Level::Admin, "user; operator; show cli level\n").0, "\n\nuser\n\n");
+}
+
+#[test]
+fn unknown_commands_get_the_list_for_their_level() {
+    let (said, _) = talk(Level::User, "shw echo\n");
+    assert!(said.starts_with("Unknown command") && said.contains("show echo [<word>]"), "{said}");
+    assert!(!said.contains("set echo"), "{said}");
+}
+
+#[test]
+fn payloads_end_with_their_line() {
+    assert_eq!(talk(Level::User, "show echo <<\na 1\nb 2\n\n").0, "a 1\nb 2\n\n");
+    assert_eq!(talk(Level::User, "show echo <<end\na\n\nb\nend\n").0, "a\n\nb\n\n");
+}
+
+#[test]
+fn lines_without_an_end_are_given_up() {
+    let mut feed = Feed::default();
+    let mut ended = None;
+    for _ in 0..(1 << 20) / 1024 {
+        feed.push(&[b'x'; 1024]);
+        if let Err(Overlong) = feed.next_line() {
+            ended = Some(feed.buffer().len());
+            break;
+        }
+    }
+    assert!(ended.is_some_and(|held| held <= LINE_MOST + 1024), "{ended:?}");
+}
+
+#[test]
+fn states_and_counters_come_back_as_they_were_written() {
+    let state = StateRow {
+        backend: "t0".into(),
+        server: "e1".into(),
+        address: "127.0.0.1".into(),
+        port: 81,
+        running: true,
+        admin: 9,
+        weight: 256,
+        health: 4,
+    };
+    assert_eq!(read_states(&write_states(std::slice::from_ref(&state))), Ok(vec![state]));
+    let row = StatRow {
+        name: "t0".into(),
+        server: "e1".into(),
+        status: "UP".into(),
+        weight: 13,
+        total: 99,
+        denied: 1,
+        connect_failed: 2,
+        answer_failed: 3,
+        answered_5xx: 4,
+        mean_ms: 17,
+        sum_ms: Some(1234),
+    };
+    assert_eq!(read_stat(&write_stat(std::slice::from_ref(&row))), Ok(vec![row]));
+    // Of another maker, with columns that come in another order and without this project's own.
+    let other = "# svname,pxname,stot,rtime,\ne1,t0,7,12,\n";
+    assert_eq!(read_stat(other).map(|rows| (rows[0].total, rows[0].sum_ms)), Ok((7, None)));
+}
+
+#[test]
+fn sheets_that_are_no_sheets_are_refused() {
+    for wrong in ["", "garbage", "# pxname,svname\nx\n", "# pxname,svname,stot,\na,b,many,\n"] {
+        assert!(read_stat(wrong).is_err(), "{wrong:?}");
+    }
+    for wrong in ["", "2\n# be_name\n", "1\n", "1\n# be_name srv_name\nt0 e1\n"] {
+        assert!(read_states(wrong).is_err(), "{wrong:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// How the bytes are cut up makes no difference.
+    #[test]
+    fn pieces_do_not_matter(lines in proptest::collection::vec("[a-z;\\\\ ]{0,30}", 1..8), cuts in proptest::collection::vec(1..20_usize, 1..50)) {
+        let text = lines.join("\n") + "\n";
+        let mut whole = Feed::default();
+        whole.push(text.as_bytes());
+        let mut pieces = Feed::default();
+        let (mut at, mut got) = (0, Vec::new());
+        for cut in cuts.iter().cycle() {
+            if at >= text.len() { break }
+            let end = (at + cut).min(text.len());
+            pieces.push(&text.as_bytes()[at..end]);
+            at = end;
+            while let Ok(Some(line)) = pieces.next_line() { got.push(line) }
+        }
+        let mut wanted = Vec::new();
+        while let Ok(Some(line)) = whole.next_line() { wanted.push(line) }
+        prop_assert_eq!(got, wanted);
+    }
+
+    #[test]
+    fn escaped_words_come_back(word in "[ -~]{1,20}") {
+        let commands = split(&format!("show {}", escaped(&word)));
+        prop_assert_eq!(&commands[0].words[1], &word);
+    }
+
+    /// Whatever comes, nothing panics, and a session answers every line.
+    #[test]
+    fn garbage_is_answered(bytes in proptest::collection::vec(any::<u8>(), 0..2000)) {
+        let mut feed = Feed::default();
+        feed.push(&bytes);
+        let mut session = Session::new(Level::Admin);
+        while let Ok(Some(commands)) = feed.next_line() {
+            let mut out = String::new();
+            session.line(&commands, &mut Echo, &mut out);
+            prop_assert!(out.ends_with('\n') || out.ends_with("> ") || commands.iter().any(|c| c.words == ["quit"]));
+        }
+    }
+
+    #[test]
+    fn answers_are_told_apart(texts in proptest::collection::vec("([a-z]{1,8}\n){0,3}", 1..6), prompt in any::<bool>(), cut in 1..9_usize) {
+        let end = if prompt { "\n> " } else { "\n" };
+        let all: String = texts.iter().map(|text| text.clone() + end).collect();
+        let (mut answers, mut got) = (Answers::default(), Vec::new());
+        for piece in all.as_bytes().chunks(cut) {
+            answers.push(piece);
+            while let Some(answer) = answers.next_answer() { got.push(answer) }
+        }
+        prop_assert_eq!(got, texts);
+    }
+}
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -42,7 +42,11 @@
     pub fn new(tap: Tap) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(8).pool_idle_timeout(IDLE).pool_timer(TokioTimer::new()).build(connector);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(8)
+            .pool_idle_timeout(IDLE)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
         Caller { client, ids: Arc::new(AtomicU64::new(1)), factor: Arc::new(AtomicU64::new(1000)), tap }
     }
 
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -74,7 +74,11 @@
             terms: Arc::new(terms),
             stall: Arc::default(),
             restarted: Arc::new(Notify::new()),
-            client: Client::builder(TokioExecutor::new()).pool_max_idle_per_host(4).pool_idle_timeout(IDLE).pool_timer(TokioTimer::new()).build(connector),
+            client: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(4)
+                .pool_idle_timeout(IDLE)
+                .pool_timer(TokioTimer::new())
+                .build(connector),
             tap,
         };
         tokio::spawn(relay.clone().take_orders(control));
--- a/crates/terms/src/post.rs
+++ b/crates/terms/src/post.rs
@@ -74,14 +74,21 @@
     /// # Errors
     /// All that is wrong with either file.
     pub fn open(file: &Path) -> Result<Self, Faults> {
-        let document = Document::open(file, crate::SCHEMA)?;
+        Post::read(&Document::open(file, crate::SCHEMA)?)
+    }
+
+    /// Reads settings that passed the schema.
+    ///
+    /// # Errors
+    /// All that no schema can see.
+    pub fn read(document: &Document) -> Result<Self, Faults> {
         let tree = document.tree();
         let root = tree.root_element();
         if !root.has_tag_name("lockcroft") {
             let allowed = Some("the root element lockcroft");
             return Err(Faults(vec![document.fault(root, "is no settings file", allowed)]));
         }
-        let mut reader = Reader { document: &document, terms: Terms::default(), faults: Vec::new() };
+        let mut reader = Reader { document, terms: Terms::default(), faults: Vec::new() };
         let post = reader.post(root);
         if reader.faults.is_empty() { Ok(post) } else { Err(Faults(reader.faults)) }
     }
--- /dev/null
+++ b/crates/terms/tests/files.rs
@@ -0,0 +1,153 @@
+//! Wrong files: each is refused with its line, what is wrong and what is allowed.
+
+use std::path::Path;
+
+use expect_test::{Expect, expect};
+use lockcroft::Term;
+use lockcroft_terms::{Document, Post, SCHEMA};
+
+const SOUND: &str = r#"<lockcroft>
+  <pilot name="p1" seed="9"/>
+  <runtime><listen address="unix:/tmp/p1.sock" level="admin"/></runtime>
+  <zones><zone name="north"/><zone name="south"/></zones>
+  <kinds><kind name="std"/></kinds>
+  <classes>
+    <class name="look-up" contract-time="600ms" patience="2s" earnings="3" only-zones="south"/>
+  </classes>
+  <fleet report-period="1s" channel-lines-per-s="8000" queue-most-lines="12000" messages-span="10s"/>
+  <rules unserved-most="2s" drain-grace="2s" cold-share="0.25" warm-within="10s" cold-multiple="3" cold-span="2s"/>
+  <proxies><proxy name="r1" zone="north" address="127.0.0.1:4001" visits-per-s="6.5"/></proxies>
+  <roster>
+    <server name="e1" zone="north" kind="std" address="127.0.0.1:5001"/>
+  </roster>
+</lockcroft>
+"#;
+
+fn read(text: &str) -> Result<Post, String> {
+    let document = Document::new(Path::new("pilot.xml"), text.into(), SCHEMA);
+    document.and_then(|document| Post::read(&document)).map_err(|faults| faults.to_string())
+}
+
+#[test]
+fn attributes_become_the_terms_that_decisions_read() {
+    let post = read(SOUND).expect("sound");
+    assert_eq!((post.name.as_str(), post.seed, post.proxies[0].rate), ("p1", 9, 6.5));
+    for (name, value) in [
+        ("fleet.report_period_us", 1e6),
+        ("fleet.queue_most_lines", 12_000.0),
+        ("fleet.proxies", 1.0),
+        ("classes.0.contract_time_us", 6e5),
+        ("classes.0.earnings", 3.0),
+        ("rules.cold_share", 0.25),
+        ("rules.unserved_most_us", 2e6),
+    ] {
+        assert_eq!(post.terms.number(name), Some(value), "{name}");
+    }
+    assert_eq!(post.terms.positions("classes.0.only_zones", "zones"), Some(vec![1]));
+    assert_eq!(post.terms.0.get("allowed.probes"), Some(&Term::Flag(true)));
+}
+
+/// Puts one text in place of another and compares what is said.
+fn refused(from: &str, to: &str, said: Expect) {
+    assert!(SOUND.contains(from), "{from}");
+    said.assert_eq(&read(&SOUND.replace(from, to)).expect_err("refused"));
+}
+
+#[test]
+fn faults_name_place_wrong_and_allowed() {
+    refused(
+        r#""600ms""#,
+        r#""600""#,
+        expect![
+            "pilot.xml:7: /lockcroft/classes/class: attribute contract-time: \"600\" does not fit; allowed: a time with its unit (us, ms, s, min, h), such as 500ms"
+        ],
+    );
+    refused(
+        "<pilot name",
+        "<pilot nmae",
+        expect![
+            "pilot.xml:2: /lockcroft/pilot: Attribute 'nmae' is not allowed for this element; allowed: attributes name, seed, answer-within, redial-least, redial-most"
+        ],
+    );
+    refused(
+        "level=\"admin\"",
+        "level=\"root\"",
+        expect![
+            "pilot.xml:3: /lockcroft/runtime/listen: attribute level: \"root\" does not fit; allowed: one of user, operator, admin"
+        ],
+    );
+    refused(
+        "<kinds><kind name=\"std\"/></kinds>",
+        "<kinds><sort/></kinds>",
+        expect![[r#"
+        pilot.xml:5: /lockcroft/kinds: Element 'sort' is not allowed at this position in the content model; allowed: elements kind
+        pilot.xml:5: /lockcroft/kinds: Element 'kinds' content model is incomplete: expected more child elements; allowed: elements kind"#]],
+    );
+    refused(
+        "cold-share=\"0.25\"",
+        "cold-share=\"1.5\"",
+        expect![
+            "pilot.xml:10: /lockcroft/rules: attribute cold-share: \"1.5\" does not fit; allowed: a share above 0 and up to 1"
+        ],
+    );
+    refused(
+        " drain-grace=\"2s\"",
+        "",
+        expect![
+            "pilot.xml:10: /lockcroft/rules: Required attribute 'drain-grace' is missing; allowed: attributes unserved-most, drain-grace, cold-share, warm-within, cold-multiple, cold-span, only-draining-binds"
+        ],
+    );
+    refused(
+        "</lockcroft>",
+        "",
+        expect!["pilot.xml:1: not well-formed: the root node was opened but never closed"],
+    );
+    refused(
+        "only-zones=\"south\"",
+        "only-zones=\"west\"",
+        expect![
+            "pilot.xml:7: /lockcroft/classes/class: only-zones: \"west\" is not listed; allowed: north, south"
+        ],
+    );
+    refused(
+        "patience=\"2s\"",
+        "patience=\"500ms\"",
+        expect![
+            "pilot.xml:7: /lockcroft/classes/class: contract-time 600ms is longer than patience 500ms; allowed: contract-time up to patience"
+        ],
+    );
+    refused(
+        "zone=\"north\" kind",
+        "zone=\"nort\" kind",
+        expect!["pilot.xml:13: /lockcroft/roster/server: unknown zone \"nort\"; allowed: north, south"],
+    );
+    refused(
+        "5001\"/>",
+        "5001\" weight=\"2\"/>",
+        expect![
+            "pilot.xml:13: /lockcroft/roster/server: a weight of 2; allowed: up to 1, the fleet's weight-most"
+        ],
+    );
+    refused(
+        "5001\"/>",
+        "5001\" started=\"2026-12-01T08:00:00+02:00\"/>",
+        expect![
+            "pilot.xml:13: /lockcroft/roster/server: started: timestamp format is invalid; allowed: a time in UTC such as 2026-12-01T08:30:00Z"
+        ],
+    );
+    refused(
+        "127.0.0.1:4001",
+        "127.0.0.1:99999",
+        expect![
+            "pilot.xml:11: /lockcroft/proxies/proxy: \"127.0.0.1:99999\" is neither unix:PATH nor IP:PORT"
+        ],
+    );
+}
+
+#[test]
+fn all_faults_of_a_file_are_told_at_once() {
+    let twice = SOUND.replace("<zone name=\"south\"/>", "<zone name=\"north\"/>");
+    let said = read(&twice).expect_err("refused");
+    assert_eq!(said.lines().count(), 2, "{said}");
+    assert!(said.contains("north is listed twice") && said.contains("\"south\" is not listed"), "{said}");
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -68,6 +68,8 @@
     /// Share of its cores in use, where it tells.
     pub load: Option<f64>,
     pub withdrawn: bool,
+    /// A proxy has joined since the withdrawal went out.
+    pub unheard: bool,
 }
 
 impl Known {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,8 +2,8 @@
 //!
 //! How it is called: the host makes one [`Pilot`] an instance and calls the method named for what
 //! became known (`listed`, `probed`, `reported`, `counted`, `joined`, `left`, `queued`). These only
-//! update what is known. It then pulls `next_decision(now)` until there is none, and comes back at `next_due`.
-//! The types of the interface stand in `lib.rs`, what is read at the start in `terms.rs`,
+//! update what is known. It then pulls `next_decision(now)` until there is none, and comes back at
+//! `next_due`. The types of the interface stand in `lib.rs`, what is read at the start in `terms.rs`,
 //! what is known and its sums in `ledger.rs`.
 //!
 //! The design: probes move a saturating rise/fall counter; a server has its listed weight while it is
@@ -300,7 +300,7 @@
         // Withdrawals that went out before have not reached it.
         let holding = self.holding();
         for known in self.servers.values_mut() {
-            known.withdrawn &= !known.kept_out(now, holding);
+            known.unheard |= known.withdrawn && known.kept_out(now, holding);
         }
     }
 
@@ -572,16 +572,17 @@
         let (holding, unbound) = (self.holding(), self.unbound() > 0);
         let held = |server: &Server| self.tables.iter().any(|t| t.held(*server) > t.wants(*server));
         let due = self.servers.iter().filter(|(server, known)| match known.kept_out(now, holding) {
-            true => !known.withdrawn && unbound,
+            true => (!known.withdrawn || known.unheard) && unbound,
             false => known.withdrawn && !unbound && !held(server),
         });
-        due.map(|(server, known)| Step(DRAINING, Order::Withdraw(*server, !known.withdrawn))).collect()
+        let step = |known: &Known, server| Order::Withdraw(server, known.kept_out(now, holding));
+        due.map(|(server, known)| Step(DRAINING, step(known, *server))).collect()
     }
 
     /// Changed lines, ranked by the traffic that each moves. A server that drains, is gone or was started
     /// anew loses its weight without waiting for the next push: the grace runs.
     fn changes(&mut self, now: Duration, pushing: bool) -> Vec<Step> {
-        let mut ranked: Vec<(f64, Step)> = Vec::new();
+        let (holding, mut ranked) = (self.holding(), Vec::<(f64, Step)>::new());
         for (index, table) in self.tables.iter().enumerate().filter(|(_, table)| table.released) {
             let total: f64 = table.wanted.values().sum();
             let demand: f64 = self.gates_of(index).map(|gate| gate.demand).sum();
@@ -591,7 +592,10 @@
             for (server, weight) in &table.wanted {
                 let (held, known) = (table.held(*server), &self.servers[server]);
                 let out = (known.barred() || known.cold(now)) && *weight < held;
-                let urgent = out || bare && *weight > held && !known.withdrawn;
+                // A withdrawal ends once all are bound, and a table without a line binds nobody: where
+                // all were withdrawn, lines of those that are back go first.
+                let back = !known.withdrawn || !known.kept_out(now, holding);
+                let urgent = out || bare && *weight > held && back;
                 if urgent || pushing && *weight != held && !known.withdrawn {
                     let part = if urgent { DRAINING } else { COMMON };
                     let moves = (weight - held).abs() / total.max(1e-9) * (1.0 + demand);
@@ -613,7 +617,8 @@
         match order {
             Order::Withdraw(server, withdrawn) => {
                 self.spend(now, 1, Whom::Unbound(self.each), part)?;
-                self.servers.get_mut(&server)?.withdrawn = withdrawn;
+                let known = self.servers.get_mut(&server)?;
+                (known.withdrawn, known.unheard) = (withdrawn, false);
                 Some(Decision::Withdraw { server, withdrawn })
             }
             Order::Weigh(index, server) => {
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -288,3 +288,38 @@
     let trace = stage.join(0).report_to(8000, &[WELL; 3]).quiet().report_to(14_000, &[(20, 0, 900); 3]);
     expect![""].assert_eq(&trace.said(&["admit"]));
 }
+
+/// Found by the daemon's property test: all servers drain in the hold and come back. Withdrawals wait
+/// for all proxies to be bound, and binding waited for a line that only came after the withdrawals.
+#[test]
+fn all_that_drained_in_the_hold_come_back() {
+    let mut stage = Stage::new(3);
+    stage.join(0).run_to(4000).list(&[0, 1, 2].map(|server| state(server, Listed::Draining))).run_to(4100);
+    stage.quiet().list(&[0, 1, 2].map(ready));
+    let trace = stage.run_to(6000).said(&["table", "withdraw"]);
+    expect![[r#"
+        4.1 table 0: server 0 1
+        4.1 table 0: server 1 1
+        4.1 table 0: server 2 1
+        4.1 table 0: bind proxy 0
+        4.2 withdraw 0 false
+        4.2 withdraw 1 false
+        4.2 withdraw 2 false
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Found by the daemon's property test: a proxy joins while a server is withdrawn, and in the same
+/// moment the server is ready again. The proxies that were told before must hear the end of it.
+#[test]
+fn a_join_does_not_lose_the_end_of_a_withdrawal() {
+    let mut stage = Stage::new(4);
+    stage.join(0).run_to(1000).list(&[state(2, Listed::Draining)]).run_to(2000);
+    stage.join(1).list(&[ready(2)]);
+    let trace = stage.run_to(7000).said(&["withdraw"]);
+    expect![[r#"
+        1.0 withdraw 2 true
+        5.2 withdraw 2 false
+    "#]]
+    .assert_eq(&trace);
+}
