--- /dev/null
+++ b/crates/cli/tests/daemon/days.rs
@@ -0,0 +1,128 @@
+//! Short days on real sockets, each with the faults that it is meant for. Judged by the rules'
+//! limits, not by times.
+
+use std::path::Path;
+
+use lockcroft_rehearsal::{Day, Report, play};
+use lockcroft_standin::What;
+
+use crate::help::PROGRAM;
+
+fn day(seconds: u32, troubles: &str) -> Report {
+    let text = format!(
+        r#"<day length="{seconds}s" seed="5">
+        <terms>
+          <zones><zone name="a"/><zone name="b"/></zones>
+          <kinds><kind name="std"/></kinds>
+          <classes>
+            <class name="look" contract-time="600ms" patience="2s" earnings="3" effect="safe"/>
+            <class name="book" contract-time="1s" patience="2s" earnings="1" effect="unsafe"/>
+          </classes>
+          <fleet report-period="500ms" message-delay="20ms" message-head-lines="2" messages-most="60" messages-span="10s"
+            channel-lines-per-s="4000" queue-most-lines="6000" connections-least="200" shuns-after="5"/>
+          <rules unserved-most="2s" drain-grace="3s" cold-share="0.3" warm-within="8s" cold-multiple="3" cold-span="2s"/>
+        </terms>
+        <endpoints kind="std" per-zone="3" cores="2" queue="40"/>
+        <relays per-zone="2" standing="3" shuns-for="3s" try-most="1500ms"/>
+        <visits class="look" rate="30" work="30ms"/>
+        <visits class="book" rate="15" work="40ms"/>
+        {troubles}
+        </day>"#
+    );
+    let day = Day::parse(&text).expect("a sound day");
+    let folder = tempfile::tempdir().expect("a folder");
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let played = runtime.expect("a runtime").block_on(play(&day, Path::new(PROGRAM), folder.path(), |_| {}));
+    let report = played.expect("the day was played");
+    if !report.kept() || report.exit != Some(0) {
+        let log = std::fs::read_to_string(folder.path().join("pilot.log")).unwrap_or_default();
+        panic!("{report}\nexit {:?}\n{log}", report.exit);
+    }
+    report
+}
+
+fn some(report: &Report, wanted: impl Fn(&What) -> bool) -> bool {
+    report.records.iter().any(|record| wanted(&record.what))
+}
+
+/// A relay stops half way through a batch while a server drains in the midst of it; the others go on.
+#[test]
+fn a_stalled_relay_and_a_drain_in_mid_batch() {
+    let report = day(
+        14,
+        r#"<trouble at="7s" for="4s" kind="stall-relay" relay="r-a-1" after-commands="1"/>
+           <trouble at="7.2s" kind="drain" servers="a-1 b-2"/>"#,
+    );
+    assert!(some(&report, |what| matches!(what, What::Stalled { on: true, .. })), "the stall took place");
+    // The relay comes to the right tables once it goes on.
+    let last = |relay: &str| {
+        let orders = report.records.iter().filter_map(|record| match &record.what {
+            What::Order { relay: at, command, answer } if at == relay && answer.is_empty() => Some(command),
+            _ => None,
+        });
+        orders.filter(|command| command.contains("b-2 weight")).last().cloned()
+    };
+    assert_eq!(last("r-a-1"), Some("set server t0/b-2 weight 0".into()));
+    assert_eq!(last("r-b-1"), Some("set server t0/b-2 weight 0".into()));
+}
+
+/// A stream breaks after orders were carried out and before they were answered: none of them takes
+/// effect a second time. Another relay starts anew and gets all it lost.
+#[test]
+fn broken_between_order_and_answer() {
+    let report = day(
+        13,
+        r#"<trouble at="1s" kind="break-relay" relay="r-b-2" after-commands="3"/>
+           <trouble at="8s" kind="restart-relay" relay="r-a-2"/>"#,
+    );
+    let broke = report
+        .records
+        .iter()
+        .position(|record| matches!(&record.what, What::Stream { relay, open: false } if relay == "r-b-2"));
+    assert!(broke.is_some(), "the stream broke");
+    let mut added = std::collections::BTreeMap::new();
+    for record in &report.records {
+        if let What::Order { relay, command, answer } = &record.what {
+            assert!(!answer.starts_with("Already"), "{relay}: {command}");
+            if relay == "r-b-2" && command.starts_with("add server") {
+                *added.entry(command.clone()).or_insert(0) += 1;
+            }
+        }
+    }
+    assert!(added.len() == 6 && added.values().all(|times| *times == 1), "{added:?}");
+    let bound = report.records.iter().filter(|record| {
+        matches!(&record.what, What::Order { relay, command, .. } if relay == "r-a-2" && command.starts_with("set map"))
+    });
+    assert_eq!(bound.count(), 4, "two classes, before and after the restart");
+}
+
+/// The pilot is killed; while it is away a zone dies, and comes back cold after it returned.
+#[test]
+fn a_killed_pilot_and_a_lost_zone() {
+    let report = day(
+        24,
+        r#"<trouble at="7s" for="2s" kind="kill-pilot"/>
+           <trouble at="8s" for="6s" kind="lose" zone="b" notice="1500ms"/>
+           <trouble at="11s" for="4s" kind="lie" servers="a-1"/>"#,
+    );
+    assert!(some(&report, |what| matches!(what, What::Started { .. })), "they came back");
+    assert!(!some(&report, |what| matches!(what, What::Fell { .. })));
+    assert!(report.score.whole > 0.7, "{report}");
+}
+
+/// A server takes visits and answers none, while its health call goes on; the rest is overloaded.
+#[test]
+fn a_hung_server_and_an_overload() {
+    let report = day(
+        20,
+        r#"<trouble at="7s" for="8s" kind="hang" servers="a-2"/>
+           <trouble at="11s" for="6s" kind="load" times="5"/>"#,
+    );
+    let sent = |from: u64, to: u64| {
+        let here = report.records.iter().filter(|record| (from..to).contains(&record.at.as_secs()));
+        here.filter(|record| matches!(&record.what, What::Arrived { endpoint, .. } if endpoint == "a-2"))
+            .count()
+    };
+    assert!(sent(5, 7) > 5, "it had its share");
+    assert!(sent(11, 15) < sent(7, 11).max(10), "and lost it: {} then {}", sent(7, 11), sent(11, 15));
+}
--- /dev/null
+++ b/crates/cli/tests/daemon/files.rs
@@ -0,0 +1,51 @@
+//! Wrong files and command lines start nothing and say why.
+
+use crate::help::{House, roster, run};
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn check_says_what_is_wrong_and_exits_with_2() {
+    let house = House::new();
+    let file = house.path("pilot.xml").display().to_string();
+    let sound = run(&["check", &file]);
+    assert_eq!((sound.status.code(), text(&sound.stdout)), (Some(0), format!("{file}: sound, 0 proxies\n")));
+    let wrong = std::fs::read_to_string(&file).expect("there").replace("\"500ms\"", "\"500\"");
+    std::fs::write(&file, wrong).expect("written");
+    let said = run(&["check", &file]);
+    assert_eq!(said.status.code(), Some(2));
+    let line = text(&said.stderr);
+    assert!(line.starts_with(&format!("{file}:7: /lockcroft/fleet: attribute report-period")), "{line}");
+    assert!(line.contains("allowed: a time with its unit"), "{line}");
+    let json = run(&["check", "--json", &file]);
+    let json: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(json["faults"][0]["line"], 7);
+    // What can't be checked is not started either.
+    let served = run(&["serve", &file]);
+    assert_eq!((served.status.code(), text(&served.stderr)), (Some(2), line));
+    assert!(!house.socket().exists());
+}
+
+#[test]
+fn a_wrong_roster_beside_the_settings_is_found_before_the_start() {
+    let house = House::new();
+    std::fs::write(house.path("roster.xml"), roster(&["e1", "e1"])).expect("written");
+    let said = run(&["check", &house.path("pilot.xml").display().to_string()]);
+    assert_eq!(said.status.code(), Some(2));
+    assert!(
+        text(&said.stderr).contains("roster.xml:3: /roster/server: server e1 is listed in line 2 already")
+    );
+}
+
+#[test]
+fn command_lines_have_help_and_exit_codes() {
+    assert_eq!(run(&["serve"]).status.code(), Some(2));
+    let help = text(&run(&["ask", "--help"]).stdout);
+    assert!(help.contains("Examples:") && help.contains("show proxies"), "{help}");
+    let nobody = run(&["ask", "/nowhere/pilot.sock", "show", "info"]);
+    assert_eq!(nobody.status.code(), Some(1));
+    assert!(text(&nobody.stderr).contains("cannot be reached"));
+    assert_eq!(run(&["rehearse", "/nowhere/day.xml"]).status.code(), Some(2));
+}
