--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -41,7 +41,9 @@
     let folder = keep.unwrap_or_else(|| passing.path().into());
     fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let folder = folder.canonicalize().map_err(|e| e.to_string())?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    // One core is the pilot's.
+    let workers = std::thread::available_parallelism().map_or(2, |cores| cores.get() - 1).max(1);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(workers).enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
     runtime.block_on(play(day, &program, &folder, |text| eprintln!("{text}")))
 }
--- a/crates/cli/tests/daemon/days.rs
+++ b/crates/cli/tests/daemon/days.rs
@@ -60,7 +60,7 @@
             What::Order { relay: at, command, answer } if at == relay && answer.is_empty() => Some(command),
             _ => None,
         });
-        orders.filter(|command| command.contains("b-2 weight")).last().cloned()
+        orders.filter(|command| command.contains("b-2 weight")).next_back().cloned()
     };
     assert_eq!(last("r-a-1"), Some("set server t0/b-2 weight 0".into()));
     assert_eq!(last("r-b-1"), Some("set server t0/b-2 weight 0".into()));
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -3,7 +3,9 @@
 //! stalls for long gets each line once, as it is by then, and what waits is bounded by its tables.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::fmt::Write;
+use std::fmt::{self, Write};
+use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use lockcroft::{Class, Server, TableNumber};
@@ -32,38 +34,41 @@
     wave: u64,
 }
 
+/// A backend at a proxy: a table of the pilot, or another by its place among those met there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Pool {
+    Table(TableNumber),
+    Other(usize),
+}
+
 /// A line of a backend, as the proxy said.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Held {
     weight: u32,
     barred: bool,
-    address: String,
+    address: Option<SocketAddr>,
 }
 
 /// What an answered command has changed at the proxy.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Change {
-    Add(String, Server, Held),
-    Weight(String, Server, u32),
-    Barred(String, Server, bool),
-    Moved(String, Server, String),
-    Delete(String, Server),
-    Map(Class, String),
+    Add(Pool, Server, Held),
+    Weight(Pool, Server, u32),
+    Barred(Pool, Server, bool),
+    Moved(Pool, Server, SocketAddr),
+    Delete(Pool, Server),
+    /// The entry is there already, or has to be added.
+    Map(Class, TableNumber, bool),
     Level(Class, u32),
     Again(Class, bool),
 }
 
-/// A command on its way, and the answer that says it was done.
-#[derive(Clone, Debug)]
-struct Step {
-    text: String,
-    change: Change,
-}
-
-/// A message on its way: the commands that are still to be answered.
+/// A message on its way: its text, and the commands that are still to be answered, each with its
+/// place in the text.
 #[derive(Debug, Default)]
 struct Flight {
-    steps: VecDeque<Step>,
+    text: String,
+    steps: VecDeque<(Range<usize>, Change)>,
     lines: usize,
     since: Duration,
     wave: u64,
@@ -94,11 +99,64 @@
     pub scale: Scale,
 }
 
+impl Desk<'_> {
+    /// The command that brings a change about.
+    fn write(&self, change: &Change, others: &[String], text: &mut String) -> fmt::Result {
+        let at = |text: &mut String, pool: Pool, server: Server| {
+            match pool {
+                Pool::Table(table) => write!(text, "t{table}/")?,
+                Pool::Other(place) => write!(text, "{}/", others[place])?,
+            }
+            text.write_str(self.list.name(server))
+        };
+        match *change {
+            Change::Add(pool, server, held) => {
+                text.write_str("add server ")?;
+                at(text, pool, server)?;
+                let address = held.address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
+                write!(text, " {address} weight {}", held.weight)
+            }
+            Change::Delete(pool, server) => {
+                text.write_str("del server ")?;
+                at(text, pool, server)
+            }
+            Change::Weight(pool, server, weight) => {
+                text.write_str("set server ")?;
+                at(text, pool, server)?;
+                write!(text, " weight {weight}")
+            }
+            Change::Barred(pool, server, barred) => {
+                text.write_str("set server ")?;
+                at(text, pool, server)?;
+                text.write_str(if barred { " state maint" } else { " state ready" })
+            }
+            Change::Moved(pool, server, to) => {
+                text.write_str("set server ")?;
+                at(text, pool, server)?;
+                write!(text, " addr {} port {}", to.ip(), to.port())
+            }
+            Change::Map(class, table, there) => {
+                let word = if there { "set" } else { "add" };
+                write!(text, "{word} map classes {} t{table}", self.classes[class])
+            }
+            Change::Level(class, level) => {
+                write!(text, "set var proc.level_{} int({level})", self.classes[class].replace('-', "_"))
+            }
+            Change::Again(class, again) => {
+                let name = self.classes[class].replace('-', "_");
+                write!(text, "set var proc.again_{name} int({})", u8::from(again))
+            }
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Book {
-    /// By backend and server.
-    held: BTreeMap<String, BTreeMap<Server, Held>>,
-    maps: BTreeMap<Class, String>,
+    held: BTreeMap<(Pool, Server), Held>,
+    /// Backends met at the proxy that are no tables, by their place.
+    others: Vec<String>,
+    /// Entries of the proxy's map, with the table where it is one.
+    maps: BTreeMap<Class, Option<TableNumber>>,
     levels: BTreeMap<Class, (Option<u32>, Option<bool>)>,
     /// Tables that the decisions put it on, in this stream.
     bound: BTreeMap<Class, TableNumber>,
@@ -113,24 +171,36 @@
         let mut book = Book::default();
         for row in states {
             let server = list.met(&row.server);
+            let pool = book.pool(&row.backend);
             let barred = row.admin & (FORCED_MAINT | FORCED_DRAIN) != 0;
-            let held = Held { weight: row.weight, barred, address: format!("{}:{}", row.address, row.port) };
-            book.held.entry(row.backend.clone()).or_default().insert(server, held);
+            let address = row.address.parse().ok().map(|ip| SocketAddr::new(ip, row.port));
+            book.held.insert((pool, server), Held { weight: row.weight, barred, address });
         }
         for line in map.lines() {
             let mut words = line.split_whitespace().skip(1);
             if let (Some(class), Some(backend)) = (words.next(), words.next())
                 && let Some(class) = classes.iter().position(|name| name == class)
             {
-                book.maps.insert(class, backend.into());
+                book.maps.insert(class, table_of(backend));
             }
         }
         book
     }
 
+    fn pool(&mut self, backend: &str) -> Pool {
+        if let Some(table) = table_of(backend) {
+            return Pool::Table(table);
+        }
+        let place = self.others.iter().position(|name| name == backend).unwrap_or_else(|| {
+            self.others.push(backend.into());
+            self.others.len() - 1
+        });
+        Pool::Other(place)
+    }
+
     /// Whether it holds nothing that a pilot laid.
     pub fn fresh(&self) -> bool {
-        !self.maps.values().any(|backend| table_of(backend).is_some())
+        self.maps.values().all(Option::is_none)
     }
 
     /// Lines that wait or are on their way.
@@ -170,7 +240,8 @@
         wave: u64,
     ) {
         let wanted = published.tables.get(&table).into_iter().flat_map(|sheet| sheet.lines.keys().copied());
-        let held = self.held.get(&backend(table)).into_iter().flat_map(|lines| lines.keys().copied());
+        let pool = Pool::Table(table);
+        let held = self.held.range((pool, Server::MIN)..=(pool, Server::MAX)).map(|((_, server), _)| *server);
         let servers: BTreeSet<Server> = wanted.chain(held).collect();
         servers.into_iter().for_each(|server| self.mark(Key::Line(table, server), since, wave));
         for class in classes {
@@ -188,7 +259,7 @@
 
     /// A server was withdrawn or came back: wherever the proxy holds it.
     pub fn withdraw(&mut self, server: Server, since: Duration, wave: u64) {
-        if self.held.values().any(|lines| lines.contains_key(&server)) {
+        if self.held.keys().any(|(_, held)| *held == server) {
             self.mark(Key::Withdrawal(server), since, wave);
         }
     }
@@ -202,107 +273,92 @@
         let waits = std::mem::take(&mut self.waits);
         let since = waits.values().map(|waits| waits.since).min().unwrap_or_default();
         let wave = waits.values().map(|waits| waits.wave).min().unwrap_or_default();
-        let mut steps: Vec<(usize, u64, Vec<Step>)> = Vec::new();
+        let mut changes: Vec<(usize, u64, Change)> = Vec::new();
+        let mut lines = 0;
         for (key, waits) in waits {
-            let (group, commands) = self.steps(key, desk);
-            if !commands.is_empty() {
-                steps.push((group, waits.place, commands));
-            }
+            let before = changes.len();
+            self.changes(key, desk, &mut |group, change| changes.push((group, waits.place, change)));
+            lines += usize::from(changes.len() > before);
         }
-        if steps.is_empty() {
+        if changes.is_empty() {
             return None;
         }
-        steps.sort_by_key(|(group, place, _)| (*group, *place));
-        let lines = steps.len();
-        let steps: VecDeque<Step> = steps.into_iter().flat_map(|(_, _, steps)| steps).collect();
-        let text = lay(&steps);
-        let commands = steps.len();
-        self.flight = Some(Flight { steps, lines, since, wave });
-        Some(Message { text, commands, lines, wave })
+        // Stable: the commands of one line keep their order.
+        changes.sort_by_key(|(group, place, _)| (*group, *place));
+        let (text, steps) = lay(changes.into_iter().map(|(_, _, change)| change), desk, &self.others);
+        let message = Message { text: text.clone(), commands: steps.len(), lines, wave };
+        self.flight = Some(Flight { text, steps, lines, since, wave });
+        Some(message)
     }
 
-    /// The commands that one line takes, from what is held to what should be, and their turn.
-    fn steps(&self, key: Key, desk: &Desk) -> (usize, Vec<Step>) {
+    /// The changes that one line takes, from what is held to what should be, and their turn.
+    fn changes(&self, key: Key, desk: &Desk, put: &mut dyn FnMut(usize, Change)) {
         match key {
-            Key::Line(table, server) => self.line_steps(table, server, desk),
-            Key::Level(class) => (1, self.level_steps(class, desk)),
+            Key::Line(table, server) => self.line_changes(table, server, desk, put),
+            Key::Level(class) => self.level_changes(class, desk, put),
             Key::Bind(class) => {
-                let Some(backend) = self.bound.get(&class).map(|table| backend(*table)) else {
-                    return (2, Vec::new());
-                };
-                if self.maps.get(&class) == Some(&backend) {
-                    return (2, Vec::new());
+                let held = self.maps.get(&class).copied();
+                if let Some(table) = self.bound.get(&class).filter(|table| held.flatten() != Some(**table)) {
+                    put(2, Change::Map(class, *table, held.is_some()));
                 }
-                let text = format!("set map classes {} {backend}", desk.classes[class]);
-                (2, vec![Step { text, change: Change::Map(class, backend) }])
             }
             Key::Withdrawal(server) => {
                 let barred = desk.published.withdrawn.contains(&server);
-                let holding = self.held.iter().filter_map(|(name, lines)| Some((name, lines.get(&server)?)));
-                let off = holding.filter(|(_, held)| held.barred != barred);
-                (4, off.map(|(name, _)| bar(name, server, barred, desk)).collect())
+                let held = self.held.iter().filter(|((_, at), held)| *at == server && held.barred != barred);
+                held.for_each(|((pool, _), _)| put(4, Change::Barred(*pool, server, barred)));
             }
         }
     }
 
-    fn line_steps(&self, table: TableNumber, server: Server, desk: &Desk) -> (usize, Vec<Step>) {
-        let backend = backend(table);
-        let name = desk.list.name(server);
+    fn line_changes(
+        &self,
+        table: TableNumber,
+        server: Server,
+        desk: &Desk,
+        put: &mut dyn FnMut(usize, Change),
+    ) {
+        let pool = Pool::Table(table);
         let weight = desk.scale.units(desk.published.weight(table, server));
         let barred = desk.published.withdrawn.contains(&server);
-        let held = self.held.get(&backend).and_then(|lines| lines.get(&server));
-        let address = desk.list.address(server).map(|address| address.to_string());
-        let mut steps = Vec::new();
-        let Some(held) = held else {
-            let Some(address) = address.filter(|_| weight > 0) else { return (0, steps) };
-            let text = format!("add server {backend}/{name} {address} weight {weight}");
-            let held = Held { weight, barred: true, address };
-            steps.push(Step { text, change: Change::Add(backend.clone(), server, held) });
-            steps.extend((!barred).then(|| bar(&backend, server, false, desk)));
-            return (0, steps);
+        let address = desk.list.address(server);
+        let Some(held) = self.held.get(&(pool, server)) else {
+            if weight > 0 && address.is_some() {
+                put(0, Change::Add(pool, server, Held { weight, barred: true, address }));
+                if !barred {
+                    put(0, Change::Barred(pool, server, false));
+                }
+            }
+            return;
         };
-        let Some(address) = address.filter(|_| weight > 0 || desk.published.tables.contains_key(&table))
-        else {
+        let Some(address) = address else {
             // Off the list: the line goes for good.
-            steps.push(bar(&backend, server, true, desk));
-            let text = format!("del server {backend}/{name}");
-            steps.push(Step { text, change: Change::Delete(backend, server) });
-            return (3, steps);
+            put(3, Change::Barred(pool, server, true));
+            put(3, Change::Delete(pool, server));
+            return;
         };
-        if held.address != address {
-            let (ip, port) = address.rsplit_once(':').unwrap_or((&address, "0"));
-            let text = format!("set server {backend}/{name} addr {ip} port {port}");
-            steps.push(Step { text, change: Change::Moved(backend.clone(), server, address.clone()) });
+        let group = if weight >= held.weight && !barred { 0 } else { 3 };
+        if held.address != Some(address) {
+            put(group, Change::Moved(pool, server, address));
         }
         if held.weight != weight {
-            let text = format!("set server {backend}/{name} weight {weight}");
-            steps.push(Step { text, change: Change::Weight(backend.clone(), server, weight) });
+            put(group, Change::Weight(pool, server, weight));
         }
         if held.barred != barred {
-            steps.push(bar(&backend, server, barred, desk));
+            put(group, Change::Barred(pool, server, barred));
         }
-        let adds = weight >= held.weight && !barred;
-        (if adds { 0 } else { 3 }, steps)
     }
 
-    fn level_steps(&self, class: Class, desk: &Desk) -> Vec<Step> {
+    fn level_changes(&self, class: Class, desk: &Desk, put: &mut dyn FnMut(usize, Change)) {
         let table = self.bound.get(&class).and_then(|table| desk.published.tables.get(table));
-        let Some((share, again)) = table.and_then(|sheet| sheet.levels.get(&class)).copied() else {
-            return Vec::new();
-        };
-        let name = desk.classes[class].replace('-', "_");
+        let Some((share, again)) = table.and_then(|sheet| sheet.levels.get(&class)).copied() else { return };
         let held = self.levels.get(&class).copied().unwrap_or_default();
         let level = (share * 1000.0).round() as u32;
-        let mut steps = Vec::new();
         if held.0 != Some(level) {
-            let text = format!("set var proc.level_{name} int({level})");
-            steps.push(Step { text, change: Change::Level(class, level) });
+            put(1, Change::Level(class, level));
         }
         if held.1 != Some(again) {
-            let text = format!("set var proc.again_{name} int({})", u8::from(again));
-            steps.push(Step { text, change: Change::Again(class, again) });
+            put(1, Change::Again(class, again));
         }
-        steps
     }
 
     /// The answer to the command that was sent longest ago. Only now what it changes is held.
@@ -311,14 +367,9 @@
     /// The proxy did not do it: what it holds has to be asked anew.
     pub fn answered(&mut self, answer: &str) -> Result<Option<Landed>, String> {
         let flight = self.flight.as_mut().ok_or("an answer to nothing")?;
-        let step = flight.steps.pop_front().ok_or("an answer too many")?;
-        let landed = Landed { since: flight.since, wave: flight.wave, lines: flight.lines };
-        let last = flight.steps.is_empty();
-        if last {
-            self.flight = None;
-        }
+        let (place, change) = flight.steps.pop_front().ok_or("an answer too many")?;
         let answer = answer.trim();
-        let done = match &step.change {
+        let done = match change {
             Change::Add(..) => answer.starts_with("New server registered"),
             Change::Moved(..) => answer.contains("changed"),
             // Visits may still be under way there; barred as it is, the line does no harm.
@@ -326,61 +377,62 @@
             _ => answer.is_empty(),
         };
         if !done {
-            return Err(format!("{:?} was answered with {answer:?}", step.text));
+            return Err(format!("{:?} was answered with {answer:?}", &flight.text[place]));
+        }
+        let landed = Landed { since: flight.since, wave: flight.wave, lines: flight.lines };
+        let last = flight.steps.is_empty();
+        if last {
+            self.flight = None;
         }
-        self.held_now(step.change, answer);
+        self.held_now(change, answer);
         Ok(last.then_some(landed))
     }
 
     fn held_now(&mut self, change: Change, answer: &str) {
-        let mut at = |name: &str, server: Server, change: &mut dyn FnMut(&mut Held)| {
-            self.held.get_mut(name).and_then(|lines| lines.get_mut(&server)).into_iter().for_each(change);
+        let mut at = |pool, server, change: &mut dyn FnMut(&mut Held)| {
+            self.held.get_mut(&(pool, server)).into_iter().for_each(change);
         };
         match change {
-            Change::Add(name, server, held) => {
-                self.held.entry(name).or_default().insert(server, held);
-            }
-            Change::Weight(name, server, weight) => at(&name, server, &mut |held| held.weight = weight),
-            Change::Barred(name, server, barred) => at(&name, server, &mut |held| held.barred = barred),
-            Change::Moved(name, server, to) => at(&name, server, &mut |held| held.address.clone_from(&to)),
-            Change::Delete(name, server) if answer.starts_with("Server deleted") => {
-                self.held.get_mut(&name).map(|lines| lines.remove(&server));
+            Change::Add(pool, server, held) => drop(self.held.insert((pool, server), held)),
+            Change::Weight(pool, server, weight) => at(pool, server, &mut |held| held.weight = weight),
+            Change::Barred(pool, server, barred) => at(pool, server, &mut |held| held.barred = barred),
+            Change::Moved(pool, server, to) => at(pool, server, &mut |held| held.address = Some(to)),
+            Change::Delete(pool, server) if answer.starts_with("Server deleted") => {
+                self.held.remove(&(pool, server));
             }
             Change::Delete(..) => {}
-            Change::Map(class, name) => drop(self.maps.insert(class, name)),
+            Change::Map(class, table, _) => drop(self.maps.insert(class, Some(table))),
             Change::Level(class, level) => self.levels.entry(class).or_default().0 = Some(level),
             Change::Again(class, again) => self.levels.entry(class).or_default().1 = Some(again),
         }
     }
 }
 
-/// The backend that a table is at the proxies.
-pub fn backend(table: TableNumber) -> String {
-    format!("t{table}")
-}
-
 /// The table behind a backend's name; none for a standing table.
 pub fn table_of(backend: &str) -> Option<TableNumber> {
     backend.strip_prefix('t')?.parse().ok()
 }
 
-fn bar(backend: &str, server: Server, barred: bool, desk: &Desk) -> Step {
-    let state = if barred { "maint" } else { "ready" };
-    let text = format!("set server {backend}/{} state {state}", desk.list.name(server));
-    Step { text, change: Change::Barred(backend.into(), server, barred) }
-}
-
-fn lay(steps: &VecDeque<Step>) -> String {
-    let (mut text, mut begun) = (String::new(), 0);
-    for step in steps {
-        if text.len() > begun && text.len() - begun + step.text.len() > LINE {
+/// The text of a message, and where in it each command stands.
+fn lay(
+    changes: impl Iterator<Item = Change>,
+    desk: &Desk,
+    others: &[String],
+) -> (String, VecDeque<(Range<usize>, Change)>) {
+    let (mut text, mut steps, mut begun) = (String::new(), VecDeque::new(), 0);
+    for change in changes {
+        if text.len() - begun > LINE {
             text.push('\n');
             begun = text.len();
         }
-        let between = if text.len() > begun { "; " } else { "" };
+        if text.len() > begun {
+            text.push_str("; ");
+        }
+        let from = text.len();
         // Writing to a String cannot fail.
-        let _ = write!(text, "{between}{}", step.text);
+        let _ = desk.write(&change, others, &mut text);
+        steps.push_back((from..text.len(), change));
     }
     text.push('\n');
-    text
+    (text, steps)
 }
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -20,6 +20,9 @@
 use crate::published::{Published, Scale};
 use crate::reports::{Counters, Told};
 
+/// So many messages are written before the host takes them to its sockets.
+const MESSAGES_AT_ONCE: usize = 32;
+
 /// What the host is to carry out on its sockets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -290,6 +293,9 @@
 
     /// When [`Helm::decide`] has to be called at the latest.
     pub fn next_due(&self) -> Duration {
+        if !self.touched.is_empty() {
+            return self.now;
+        }
         let own = self.due.first().map_or(Duration::MAX, |(time, _)| *time);
         self.pilot.next_due().min(own)
     }
@@ -431,9 +437,11 @@
     }
 
     /// All that was decided at one time goes out as one message to each proxy concerned; one that
-    /// has not answered its last message gets the next with its answer.
+    /// has not answered its last message gets the next with its answer. In a storm the first proxies
+    /// have their messages, and work on them, while those of the others are still being written.
     fn send(&mut self, now: Duration) {
-        for proxy in std::mem::take(&mut self.touched) {
+        for _ in 0..MESSAGES_AT_ONCE {
+            let Some(proxy) = self.touched.pop_first() else { return };
             let Berth { stage, book, .. } = &mut self.berths[proxy];
             let desk = Desk {
                 published: &self.published,
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -29,7 +29,7 @@
     Probed { server: Server, finding: Finding, took: Duration },
     Connected { proxy: Proxy, stream: u64 },
     Broken { proxy: Proxy, stream: u64, why: String },
-    Answered { proxy: Proxy, stream: u64, text: String },
+    Answered { proxy: Proxy, stream: u64, texts: Vec<String> },
 }
 
 type Told = mpsc::Sender<News>;
@@ -90,6 +90,8 @@
             helm.decide(start.elapsed())
         };
         effects.into_iter().for_each(|effect| carry_out(effect, &hands, &told));
+        // Streams get their turn before there is more for them.
+        tokio::task::yield_now().await;
     }
     info!(target: "lockcroft::pilot", "told to end; proxies keep their tables");
     for door in &post.doors {
@@ -117,7 +119,9 @@
         News::Probed { server, finding, took } => helm.probed(now, server, finding, took),
         News::Connected { proxy, stream } => helm.connected(now, proxy, stream),
         News::Broken { proxy, stream, why } => helm.broken(now, proxy, stream, &why),
-        News::Answered { proxy, stream, text } => helm.answered(now, proxy, stream, &text),
+        News::Answered { proxy, stream, texts } => {
+            texts.iter().for_each(|text| helm.answered(now, proxy, stream, text));
+        }
     }
 }
 
--- a/crates/pilot/src/streams.rs
+++ b/crates/pilot/src/streams.rs
@@ -93,8 +93,9 @@
                 Ok(0) => return Some("closed by the proxy".into()),
                 Err(error) => return Some(format!("reading: {error}")),
                 Ok(_) => {
-                    while let Some(text) = answers.next_answer() {
-                        told.send(News::Answered { proxy, stream, text }).await.ok()?;
+                    let texts: Vec<String> = std::iter::from_fn(|| answers.next_answer()).collect();
+                    if !texts.is_empty() {
+                        told.send(News::Answered { proxy, stream, texts }).await.ok()?;
                     }
                     if answers.held() > ANSWER_MOST {
                         return Some("an answer without an end".into());
--- a/crates/runtime/src/session.rs
+++ b/crates/runtime/src/session.rs
@@ -182,10 +182,20 @@
 
 /// The entry whose plain words all stand at the start; of several the longest.
 fn find<'a>(entries: &'a [Entry], words: &[&str]) -> Option<&'a Entry> {
-    let plain = |entry: &Entry| -> usize {
-        let wanted = entry.words.split(' ').take_while(|word| !word.starts_with(['<', '[', '@']));
-        let wanted: Vec<&str> = wanted.collect();
-        if words.starts_with(&wanted) { wanted.len() } else { 0 }
+    let met = |entry: &Entry| {
+        let mut count = 0;
+        for wanted in entry.words.split(' ').take_while(|word| !word.starts_with(['<', '[', '@'])) {
+            if words.get(count) != Some(&wanted) {
+                return 0;
+            }
+            count += 1;
+        }
+        count
     };
-    entries.iter().filter(|entry| plain(entry) > 0).max_by_key(|entry| plain(entry))
+    entries
+        .iter()
+        .map(|entry| (met(entry), entry))
+        .filter(|(met, _)| *met > 0)
+        .max_by_key(|(met, _)| *met)
+        .map(|(_, entry)| entry)
 }
