--- a/crates/cli/tests/daemon/days.rs
+++ b/crates/cli/tests/daemon/days.rs
@@ -8,7 +8,7 @@
 
 use crate::help::PROGRAM;
 
-fn day(seconds: u32, troubles: &str) -> Report {
+fn day(seconds: u32, troubles: &str) -> (Report, String) {
     let text = format!(
         r#"<day length="{seconds}s" seed="5">
         <terms>
@@ -34,11 +34,9 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let played = runtime.expect("a runtime").block_on(play(&day, Path::new(PROGRAM), folder.path(), |_| {}));
     let report = played.expect("the day was played");
-    if !report.kept() || report.exit != Some(0) {
-        let log = std::fs::read_to_string(folder.path().join("pilot.log")).unwrap_or_default();
-        panic!("{report}\nexit {:?}\n{log}", report.exit);
-    }
-    report
+    let log = std::fs::read_to_string(folder.path().join("pilot.log")).unwrap_or_default();
+    assert!(report.kept() && report.exit == Some(0), "{report}\nexit {:?}\n{log}", report.exit);
+    (report, log)
 }
 
 fn some(report: &Report, wanted: impl Fn(&What) -> bool) -> bool {
@@ -48,7 +46,7 @@
 /// A relay stops half way through a batch while a server drains in the midst of it; the others go on.
 #[test]
 fn a_stalled_relay_and_a_drain_in_mid_batch() {
-    let report = day(
+    let (report, log) = day(
         14,
         r#"<trouble at="7s" for="4s" kind="stall-relay" relay="r-a-1" after-commands="1"/>
            <trouble at="7.2s" kind="drain" servers="a-1 b-2"/>"#,
@@ -56,21 +54,31 @@
     assert!(some(&report, |what| matches!(what, What::Stalled { on: true, .. })), "the stall took place");
     // The relay comes to the right tables once it goes on.
     let last = |relay: &str| {
-        let orders = report.records.iter().filter_map(|record| match &record.what {
+        let mut orders = report.records.iter().filter_map(|record| match &record.what {
             What::Order { relay: at, command, answer } if at == relay && answer.is_empty() => Some(command),
             _ => None,
         });
-        orders.filter(|command| command.contains("b-2 weight")).next_back().cloned()
+        orders.rfind(|command| command.contains("b-2 weight")).cloned()
     };
     assert_eq!(last("r-a-1"), Some("set server t0/b-2 weight 0".into()));
     assert_eq!(last("r-b-1"), Some("set server t0/b-2 weight 0".into()));
+    // From the list to the proxy's answer by the number of the wave.
+    let listed =
+        log.lines().filter(|line| line.contains("lockcroft::input: listed")).nth(1).expect("listed twice");
+    let wave = listed.split_whitespace().find(|word| word.starts_with("wave=")).expect("a wave");
+    for said in
+        ["lockcroft::decision: t0: b-2 weighs 0", "lockcroft::order: sent", "lockcroft::answer: answered"]
+    {
+        let of_wave = |line: &&str| line.contains(said) && line.split_whitespace().any(|word| word == wave);
+        assert!(log.lines().any(|line| of_wave(&line)), "{said} of {wave}\n{log}");
+    }
 }
 
 /// A stream breaks after orders were carried out and before they were answered: none of them takes
 /// effect a second time. Another relay starts anew and gets all it lost.
 #[test]
 fn broken_between_order_and_answer() {
-    let report = day(
+    let (report, _) = day(
         13,
         r#"<trouble at="1s" kind="break-relay" relay="r-b-2" after-commands="3"/>
            <trouble at="8s" kind="restart-relay" relay="r-a-2"/>"#,
@@ -99,7 +107,7 @@
 /// The pilot is killed; while it is away a zone dies, and comes back cold after it returned.
 #[test]
 fn a_killed_pilot_and_a_lost_zone() {
-    let report = day(
+    let (report, _) = day(
         24,
         r#"<trouble at="7s" for="2s" kind="kill-pilot"/>
            <trouble at="8s" for="6s" kind="lose" zone="b" notice="1500ms"/>
@@ -113,7 +121,7 @@
 /// A server takes visits and answers none, while its health call goes on; the rest is overloaded.
 #[test]
 fn a_hung_server_and_an_overload() {
-    let report = day(
+    let (report, _) = day(
         20,
         r#"<trouble at="7s" for="8s" kind="hang" servers="a-2"/>
            <trouble at="11s" for="6s" kind="load" times="5"/>"#,
--- a/crates/cli/tests/daemon/help.rs
+++ b/crates/cli/tests/daemon/help.rs
@@ -35,7 +35,7 @@
         let (admin, user) = (house.socket(), house.path("user.sock"));
         let text = format!(
             "<lockcroft><runtime><listen address=\"unix:{}\" level=\"admin\"/>\n\
-             <listen address=\"unix:{}\" level=\"user\"/></runtime>\n{TERMS}\
+             <listen address=\"unix:{}\" level=\"user\"/></runtime>\n<log form=\"json\"/>{TERMS}\
              <roster-file path=\"roster.xml\" look-every=\"50ms\"/></lockcroft>\n",
             admin.display(),
             user.display()
--- a/crates/cli/tests/daemon/sockets.rs
+++ b/crates/cli/tests/daemon/sockets.rs
@@ -40,7 +40,12 @@
     let json: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
     assert!(json["lines"][0].as_str().is_some_and(|line| line.starts_with("lockcroft")));
     assert_eq!(pilot.end(Duration::from_secs(5)), Some(0));
-    assert!(house.log().contains("proxies keep their tables"));
+    let log = house.log();
+    assert!(log.contains("proxies keep their tables"));
+    for line in log.lines() {
+        let line: serde_json::Value = serde_json::from_str(line).expect("each line is JSON");
+        assert!(line["target"].as_str().is_some_and(|target| target.starts_with("lockcroft::")), "{line}");
+    }
     assert!(!house.socket().exists());
 }
 
