Choose by structures made for the job: a heap by due time, and sums in a tree

Need: the proxy's choosing must not scan tables of 10,000 lines. Change: wheel (evenly by weight, by due time in a heap), lottery and pair (partial sums in a tree), tries under way counted by line with a limit.

--- a/crates/cli/tests/daemon/files.rs
+++ b/crates/cli/tests/daemon/files.rs
@@ -23,8 +23,8 @@
     let json: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
     assert_eq!(json["faults"][0]["line"], 7);
     // What can't be checked is not started either.
-    let served = run(&["serve", &file]);
-    assert_eq!((served.status.code(), text(&served.stderr)), (Some(2), line));
+    let started = run(&["serve", &file]);
+    assert_eq!((started.status.code(), text(&started.stderr)), (Some(2), line));
     assert!(!house.socket().exists());
 }
 
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -7,7 +7,7 @@
 
 use lockcroft::{Finding, Listed, Server};
 use lockcroft_fleet::{Effect, Helm};
-use lockcroft_proxy::{Held, Limits, STANDING};
+use lockcroft_proxy::{Backend, Held, Limits, STANDING, Way};
 use lockcroft_runtime::{Answers, Feed, Level, Session};
 use lockcroft_terms::{Document, Entry, Post, Roster, SCHEMA};
 
@@ -70,7 +70,8 @@
                 &format!("r{i}"),
                 &["look-up".to_string()],
                 &standing,
-                Limits { shuns_after: 0, shuns_for: ms(0) },
+                Limits { way: Way::Wheel, outstanding_most: 0, shuns_after: 0, shuns_for: ms(0) },
+                i as u64,
             ),
             feed: Feed::default(),
             session: Session::new(Level::Admin),
@@ -212,7 +213,7 @@
     pub fn picks(&self, proxy: usize) -> Vec<(String, u32)> {
         let held = &self.peers[proxy].held;
         let backend = held.map.get("look-up").map_or(STANDING, String::as_str);
-        let lines = held.backends.get(backend).map(|backend| backend.lines.as_slice()).unwrap_or_default();
+        let lines = held.backends.get(backend).map(Backend::lines).unwrap_or_default();
         let open = lines.iter().filter(|line| line.open());
         let mut picks: Vec<_> = open.map(|line| (line.name.clone(), line.weight)).collect();
         picks.sort();
--- a/crates/pilot/src/probes.rs
+++ b/crates/pilot/src/probes.rs
@@ -30,9 +30,9 @@
         return Finding::Refused;
     };
     let connection = spawn_local(connection);
-    let request = Request::get("/health").header(HOST, address.to_string()).header(CONNECTION, "close");
-    let Ok(request) = request.body(Empty::<Bytes>::new()) else { return Finding::Failed };
-    let answer = sender.send_request(request).await;
+    let call = Request::get("/health").header(HOST, address.to_string()).header(CONNECTION, "close");
+    let Ok(call) = call.body(Empty::<Bytes>::new()) else { return Finding::Failed };
+    let answer = sender.send_request(call).await;
     connection.abort();
     let Ok(answer) = answer else { return Finding::Refused };
     let load = answer.headers().get(LOAD).and_then(|load| load.to_str().ok()?.parse().ok());
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -6,7 +6,7 @@
 use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StatRow, StateRow, write_stat, write_states};
 use lockcroft_runtime::{Answer, Command, Desk, Entry, Level};
 
-use crate::held::{Held, Line, STANDING};
+use crate::held::{Backend, Held, Line, STANDING};
 
 /// Backends `t0` up to this number stand in every proxy's settings, as the guide can't add one.
 pub const BACKENDS_MOST: usize = 1024;
@@ -84,12 +84,19 @@
 }
 
 impl Held {
-    fn line(&mut self, place: &str) -> Result<&mut Line, String> {
+    fn line(&self, place: &str) -> Result<&Line, String> {
         let (backend, server) = place.split_once('/').ok_or("Require 'backend/server'.")?;
-        let backend = self.backends.get_mut(backend).ok_or("No such backend.")?;
+        let backend = self.backends.get(backend).ok_or("No such backend.")?;
         backend.line(server).ok_or_else(|| "No such server.".into())
     }
 
+    fn change(&mut self, place: &str, change: impl FnOnce(&mut Line)) -> Said {
+        self.line(place)?;
+        let (backend, server) = place.split_once('/').unwrap_or_default();
+        self.backends.get_mut(backend).map(|backend| backend.change(server, change));
+        Ok(String::new())
+    }
+
     fn add_server(&mut self, place: &str, address: &str, rest: &[&str]) -> Said {
         let (backend, server) = place.split_once('/').ok_or("Require 'backend/server'.")?;
         let address: SocketAddr = address.parse().map_err(|_| "Invalid address.")?;
@@ -102,11 +109,12 @@
         if backend != STANDING && number.is_none_or(|number| number >= BACKENDS_MOST) {
             return Err("No such backend.".into());
         }
-        let backend = self.backends.entry(backend.into()).or_default();
+        let way = self.limits.way;
+        let backend = self.backends.entry(backend.into()).or_insert_with(|| Backend::new(way, Vec::new()));
         if backend.line(server).is_some() {
             return Err("Already exists a server with the same name in backend.".into());
         }
-        backend.lines.push(Line::new(server, address, weight, true));
+        backend.add(Line::new(server, address, weight, true));
         Ok("New server registered.\n".into())
     }
 
@@ -116,47 +124,46 @@
         }
         let (backend, server) = place.split_once('/').unwrap_or_default();
         if let Some(backend) = self.backends.get_mut(backend) {
-            backend.lines.retain(|line| line.name != server);
+            backend.remove(server);
         }
         Ok("Server deleted.\n".into())
     }
 
     fn set_weight(&mut self, place: &str, value: &str) -> Said {
-        let line = self.line(place)?;
-        line.weight = match value.strip_suffix('%') {
+        let first = self.line(place)?.first_weight;
+        let weight = match value.strip_suffix('%') {
             Some(percent) => {
                 let percent: u32 = percent.parse().map_err(|_| BAD_WEIGHT)?;
-                let weight = line.first_weight.checked_mul(percent).ok_or(BAD_WEIGHT)?.div_ceil(100);
-                if weight > 256 { return Err(BAD_WEIGHT.into()) } else { weight }
+                first.checked_mul(percent).map(|weight| weight.div_ceil(100)).filter(|weight| *weight <= 256)
             }
-            None => read_weight(value)?,
+            None => Some(read_weight(value)?),
         };
-        Ok(String::new())
+        let weight = weight.ok_or(BAD_WEIGHT)?;
+        self.change(place, |line| line.weight = weight)
     }
 
     fn set_state(&mut self, place: &str, state: &str) -> Said {
-        let line = self.line(place)?;
-        (line.maint, line.drain) = match state {
+        let state = match state {
             "ready" => (false, false),
             "drain" => (false, true),
             "maint" => (true, false),
             _ => return Err("'set server <srv> state' expects 'ready', 'drain' and 'maint'.".into()),
         };
-        Ok(String::new())
+        self.change(place, |line| (line.maint, line.drain) = state)
     }
 
     fn set_address(&mut self, place: &str, ip: &str, port: &[&str]) -> Said {
-        let line = self.line(place)?;
+        let was = self.line(place)?.address;
         let port = match port {
             ["port", port] => port.parse().map_err(|_| "Invalid port.")?,
-            [] => line.address.port(),
+            [] => was.port(),
             _ => return Err("set server <b>/<s> addr <ip> [port <port>]".into()),
         };
         let address = SocketAddr::new(ip.parse().map_err(|_| "Invalid address.")?, port);
-        if address == line.address {
+        if address == was {
             return Ok("nothing changed\n".into());
         }
-        let was = std::mem::replace(&mut line.address, address);
+        self.change(place, |line| line.address = address)?;
         Ok(format!("address changed from '{was}' to '{address}' by 'stats socket command'\n"))
     }
 
@@ -166,7 +173,7 @@
         }
         let picked = self.backends.iter().filter(|(name, _)| backend.is_none_or(|wanted| wanted == *name));
         let rows = picked.flat_map(|(name, backend)| {
-            backend.lines.iter().map(|line| StateRow {
+            backend.lines().iter().map(|line| StateRow {
                 backend: name.clone(),
                 server: line.name.clone(),
                 address: line.address.ip().to_string(),
@@ -190,7 +197,7 @@
             ..StatRow::default()
         });
         let lines = self.backends.iter().flat_map(|(name, backend)| {
-            backend.lines.iter().map(|line| StatRow {
+            backend.lines().iter().map(|line| StatRow {
                 name: name.clone(),
                 server: line.name.clone(),
                 status: if line.maint {
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::choose::Wheel;
+use nanorand::WyRand;
+
+use crate::choose::{Chooser, Way};
 use crate::tries::Ending;
 
 /// The backend that holds a proxy's standing table.
@@ -25,6 +27,8 @@
     pub drain: bool,
     failed_in_row: u32,
     shunned_until: Duration,
+    /// Tries under way.
+    pub outstanding: usize,
     pub tries: u64,
     pub connect_failed: u64,
     pub answer_failed: u64,
@@ -44,6 +48,7 @@
             drain: false,
             failed_in_row: 0,
             shunned_until: Duration::ZERO,
+            outstanding: 0,
             tries: 0,
             connect_failed: 0,
             answer_failed: 0,
@@ -54,25 +59,62 @@
     }
 
     pub fn open(&self) -> bool {
-        self.weight > 0 && !self.maint && !self.drain
+        self.share() > 0
+    }
+
+    /// The weight that counts: none where it takes no visits.
+    fn share(&self) -> u32 {
+        if self.maint || self.drain { 0 } else { self.weight }
     }
 }
 
-#[derive(Clone, Debug, Default)]
+/// The lines of a table, and what chooses among them.
+#[derive(Clone, Debug)]
 pub struct Backend {
-    pub lines: Vec<Line>,
-    wheel: Wheel,
+    lines: Vec<Line>,
+    chooser: Chooser,
+    way: Way,
 }
 
 impl Backend {
-    pub fn line(&mut self, name: &str) -> Option<&mut Line> {
-        self.lines.iter_mut().find(|line| line.name == name)
+    pub fn new(way: Way, lines: Vec<Line>) -> Self {
+        let weights: Vec<u32> = lines.iter().map(Line::share).collect();
+        Backend { chooser: Chooser::new(way, &weights), lines, way }
+    }
+
+    pub fn lines(&self) -> &[Line] {
+        &self.lines
+    }
+
+    pub fn line(&self, name: &str) -> Option<&Line> {
+        self.lines.iter().find(|line| line.name == name)
+    }
+
+    /// Changes a line and with it its turn; `false` if there is none of this name.
+    pub fn change(&mut self, name: &str, change: impl FnOnce(&mut Line)) -> bool {
+        let Some(place) = self.lines.iter().position(|line| line.name == name) else { return false };
+        change(&mut self.lines[place]);
+        self.chooser.set(place, self.lines[place].share());
+        true
+    }
+
+    pub fn add(&mut self, line: Line) {
+        self.lines.push(line);
+        *self = Backend::new(self.way, std::mem::take(&mut self.lines));
+    }
+
+    pub fn remove(&mut self, name: &str) {
+        self.lines.retain(|line| line.name != name);
+        *self = Backend::new(self.way, std::mem::take(&mut self.lines));
     }
 }
 
 /// What a proxy does of itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    pub way: Way,
+    /// Tries that may be under way at one endpoint; 0: any number.
+    pub outstanding_most: usize,
     /// It keeps away from a server after so many failures of its own in a row; 0: never.
     pub shuns_after: u32,
     pub shuns_for: Duration,
@@ -86,6 +128,15 @@
     pub address: SocketAddr,
 }
 
+/// What came of choosing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    Line(Chosen),
+    /// Lines there are, but each has all that it may have under way.
+    Full,
+    Bare,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Front {
     pub visits: u64,
@@ -105,13 +156,20 @@
     pub versions: u64,
     pub vars: BTreeMap<String, i64>,
     pub fronts: BTreeMap<String, Front>,
+    chance: WyRand,
 }
 
 impl Held {
     /// A proxy as it starts: each class on the standing table.
-    pub fn new(name: &str, classes: &[String], standing: &[(String, SocketAddr)], limits: Limits) -> Self {
+    pub fn new(
+        name: &str,
+        classes: &[String],
+        standing: &[(String, SocketAddr)],
+        limits: Limits,
+        seed: u64,
+    ) -> Self {
         let lines = standing.iter().map(|(name, address)| Line::new(name, *address, 256, false));
-        let backend = Backend { lines: lines.collect(), wheel: Wheel::default() };
+        let backend = Backend::new(limits.way, lines.collect());
         Held {
             name: name.into(),
             limits,
@@ -121,6 +179,7 @@
             versions: 0,
             vars: BTreeMap::new(),
             fronts: classes.iter().map(|class| (class.clone(), Front::default())).collect(),
+            chance: WyRand::new_seed(seed),
         }
     }
 
@@ -145,22 +204,33 @@
         self.vars.get(&format!("proc.{what}_{}", class.replace('-', "_"))).copied()
     }
 
-    /// The line for the next try: open, not shunned, and not the one that was tried already.
-    pub fn choose(&mut self, now: Duration, class: &str, not: Option<&str>) -> Option<Chosen> {
-        let name = self.map.get(class)?;
-        let Backend { lines, wheel } = self.backends.get_mut(name)?;
+    /// The line for the next try: open, not shunned, with room, and not the one that was tried
+    /// already. The try counts as under way until it [ends](Held::ended).
+    pub fn choose(&mut self, now: Duration, class: &str, not: Option<&str>) -> Choice {
+        let most = if self.limits.outstanding_most > 0 { self.limits.outstanding_most } else { usize::MAX };
+        let found = self.map.get(class).and_then(|name| Some((name, self.backends.get_mut(name)?)));
+        let Some((name, Backend { lines, chooser, .. })) = found else { return Choice::Bare };
         let free = |line: &Line| line.open() && line.shunned_until <= now && Some(line.name.as_str()) != not;
-        let weights: Vec<u32> = lines.iter().map(|line| if free(line) { line.weight } else { 0 }).collect();
-        let line = &lines[wheel.next(&weights)?];
-        Some(Chosen { backend: name.clone(), server: line.name.clone(), address: line.address })
+        let open = |place: usize| free(&lines[place]) && lines[place].outstanding < most;
+        match chooser.next(&mut self.chance, open, |place| lines[place].outstanding) {
+            Some(place) => {
+                let line = &mut lines[place];
+                line.outstanding += 1;
+                let (server, address) = (line.name.clone(), line.address);
+                Choice::Line(Chosen { backend: name.clone(), server, address })
+            }
+            None if lines.iter().any(free) => Choice::Full,
+            None => Choice::Bare,
+        }
     }
 
     /// How a try ended; after so many failures in a row the server is shunned.
     pub fn ended(&mut self, now: Duration, chosen: &Chosen, ending: Ending, took: Duration) {
-        let Limits { shuns_after, shuns_for } = self.limits;
-        let Some(line) = self.backends.get_mut(&chosen.backend).and_then(|b| b.line(&chosen.server)) else {
-            return;
-        };
+        let Limits { shuns_after, shuns_for, .. } = self.limits;
+        let lines = self.backends.get_mut(&chosen.backend).into_iter().flat_map(|b| &mut b.lines);
+        // A line that went while the visit was under way counts nothing any more.
+        let Some(line) = lines.into_iter().find(|line| line.name == chosen.server) else { return };
+        line.outstanding = line.outstanding.saturating_sub(1);
         line.tries += 1;
         match ending {
             Ending::Refused => line.connect_failed += 1,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,7 +6,7 @@
 mod held;
 mod tries;
 
-pub use choose::Wheel;
+pub use choose::{Chooser, Draw, Way, Wheel};
 pub use desk::BACKENDS_MOST;
-pub use held::{Chosen, Held, Limits, STANDING};
+pub use held::{Backend, Choice, Chosen, Held, Limits, Line, STANDING};
 pub use tries::{Ending, may_try_again};
--- a/crates/proxy/tests/desk.rs
+++ b/crates/proxy/tests/desk.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use expect_test::expect;
-use lockcroft_proxy::{Ending, Held, Limits, may_try_again};
+use lockcroft_proxy::{Choice, Ending, Held, Limits, Way, may_try_again};
 use lockcroft_runtime::{Level, Session, split};
 
 fn held() -> Held {
     let standing = ["e1", "e2"].map(|name| (name.to_string(), "127.0.0.1:81".parse().expect("an address")));
-    let limits = Limits { shuns_after: 3, shuns_for: Duration::from_secs(4) };
-    Held::new("r1", &["look-up".to_string()], &standing, limits)
+    let shuns_for = Duration::from_secs(4);
+    let limits = Limits { way: Way::Wheel, outstanding_most: 2, shuns_after: 3, shuns_for };
+    Held::new("r1", &["look-up".to_string()], &standing, limits, 1)
 }
 
 fn tell(held: &mut Held, line: &str) -> String {
@@ -125,15 +126,21 @@
 fn withdrawn_and_shunned_lines_are_not_chosen() {
     let (mut held, now) = (held(), Duration::from_secs(1));
     tell(&mut held, "set server standing/e1 state drain");
-    let chosen = held.choose(now, "look-up", None).expect("e2 is left");
+    let Choice::Line(chosen) = held.choose(now, "look-up", None) else { panic!("e2 is left") };
     assert_eq!(chosen.server, "e2");
-    assert_eq!(held.choose(now, "look-up", Some("e2")), None);
+    assert_eq!(held.choose(now, "look-up", Some("e2")), Choice::Bare);
     for _ in 0..3 {
         held.ended(now, &chosen, Ending::Late, now);
     }
-    assert_eq!(held.choose(now, "look-up", None), None, "shunned after three");
+    assert_eq!(held.choose(now, "look-up", None), Choice::Bare, "shunned after three");
     assert!(held.has_line("look-up"), "by its orders it has one");
-    assert!(held.choose(now + Duration::from_secs(4), "look-up", None).is_some(), "and for a time only");
+    let later = now + Duration::from_secs(4);
+    for _ in 0..2 {
+        assert!(matches!(held.choose(later, "look-up", None), Choice::Line(_)), "and for a time only");
+    }
+    assert_eq!(held.choose(later, "look-up", None), Choice::Full, "two are under way");
+    held.ended(later, &chosen, Ending::Answered(200), now);
+    assert!(matches!(held.choose(later, "look-up", None), Choice::Line(_)));
 }
 
 #[test]
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use lockcroft_proxy::Limits as Shuns;
+use lockcroft_proxy::{Limits as Shuns, Way};
 use lockcroft_standin::{Endpoint, EndpointTerms, Relay, RelayTerms, Tap};
 use lockcroft_terms::Post;
 use nanorand::{Rng, WyRand};
@@ -80,7 +80,12 @@
                     name: name.clone(),
                     classes: post.places.classes.clone(),
                     standing,
-                    limits: Shuns { shuns_after, shuns_for: day.relays.shuns_for },
+                    limits: Shuns {
+                        way: Way::Wheel,
+                        outstanding_most: 0,
+                        shuns_after,
+                        shuns_for: day.relays.shuns_for,
+                    },
                     try_most: day.relays.try_most,
                 };
                 let relay = Relay::start(terms, tap.clone()).await.map_err(io)?;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -14,7 +14,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use lockcroft_proxy::{Ending, Held, Limits, may_try_again};
+use lockcroft_proxy::{Choice, Ending, Held, Limits, may_try_again};
 use lockcroft_runtime::{After, Command, Feed, Level, Session};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -208,7 +208,7 @@
         let (mut tries, mut tried) = (0, None::<String>);
         loop {
             let chosen = self.held().choose(self.tap.now(), &class, tried.as_deref());
-            let Some(chosen) = chosen else { return refuse() };
+            let Choice::Line(chosen) = chosen else { return refuse() };
             let (begun, left) = (self.tap.now(), ends.saturating_sub(self.tap.now()));
             let (ending, answer) = self.send(chosen.address, &class, id, left.min(self.terms.try_most)).await;
             let now = self.tap.now();
@@ -260,7 +260,7 @@
 fn begin(terms: &RelayTerms, tap: &Tap) -> Held {
     let servers = terms.standing.iter().map(|(name, _)| name.clone()).collect();
     tap.put(What::Standing { relay: terms.name.clone(), servers });
-    Held::new(&terms.name, &terms.classes, &terms.standing, terms.limits)
+    Held::new(&terms.name, &terms.classes, &terms.standing, terms.limits, 0)
 }
 
 fn status(code: u16) -> Response<Full<Bytes>> {
