The proxy on sockets: kept connections, proof of unsent visits, guard, sets of orders

Need: a proxy of our own. Change: lines of orders take effect as a whole, later epochs fence off earlier ones, second tries on a budget, bounded waiting, a guard against heads that read two ways, connections to endpoints kept and proven unsent where they were.

--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -47,8 +47,18 @@
     }
 
     fn answer(&mut self, _: &Entry, command: &Command) -> Answer {
+        Answer::Text(self.carry_out(command).unwrap_or_else(|wrong| wrong + "\n"))
+    }
+}
+
+impl Held {
+    /// Carries out one command.
+    ///
+    /// # Errors
+    /// It was not done; the text says why, in the guide's words where it has some.
+    pub fn carry_out(&mut self, command: &Command) -> Result<String, String> {
         let words: Vec<&str> = command.words.iter().map(String::as_str).collect();
-        let said = match words[..] {
+        match words[..] {
             ["add", "server", place, address, ref rest @ ..] => self.add_server(place, address, rest),
             ["del", "server", place] => self.del_server(place),
             ["set", "server", place, "weight", value] | ["set", "weight", place, value] => {
@@ -65,7 +75,10 @@
             ["show", "stat", ..] => Ok(self.stat()),
             ["show", "info", ..] => Ok(self.info()),
             ["show", "backend"] => {
-                Ok(self.backends.keys().fold("# name\n".to_string(), |text, name| text + name + "\n"))
+                let line = |(name, backend): (&String, &Backend)| {
+                    format!("{name} {} {}\n", backend.version, backend.lines().len())
+                };
+                Ok("# name version lines\n".to_string() + &self.backends.iter().map(line).collect::<String>())
             }
             ["show", "version"] => Ok(format!("lockcroft {}\n", env!("CARGO_PKG_VERSION"))),
             ["show", "map"] => Ok("# id (file) description\n0 (classes) class to backend\n".into()),
@@ -73,17 +86,21 @@
                 self.change_map(&words, command.payload.as_deref())
             }
             ["set", "var", name, value] => self.set_var(name, value),
-            ["get", "var", name] => Ok(match self.vars.get(name) {
-                Some(value) => format!("{name}: type=sint value=<{value}>\n"),
-                None => format!("{name}: undefined\n"),
-            }),
+            ["get", "var", name] => {
+                let value = match name {
+                    "proc.epoch" => Some(self.epoch),
+                    "proc.version" => i64::try_from(self.version).ok(),
+                    name => self.vars.get(name).copied(),
+                };
+                Ok(match value {
+                    Some(value) => format!("{name}: type=sint value=<{value}>\n"),
+                    None => format!("{name}: undefined\n"),
+                })
+            }
             _ => Err("Missing or surplus arguments; 'help' lists the commands.".into()),
-        };
-        Answer::Text(said.unwrap_or_else(|wrong| wrong + "\n"))
+        }
     }
-}
 
-impl Held {
     fn line(&self, place: &str) -> Result<&Line, String> {
         let (backend, server) = place.split_once('/').ok_or("Require 'backend/server'.")?;
         let backend = self.backends.get(backend).ok_or("No such backend.")?;
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -74,12 +74,14 @@
     lines: Vec<Line>,
     chooser: Chooser,
     way: Way,
+    /// Of the set of orders that changed it last.
+    pub version: u64,
 }
 
 impl Backend {
     pub fn new(way: Way, lines: Vec<Line>) -> Self {
         let weights: Vec<u32> = lines.iter().map(Line::share).collect();
-        Backend { chooser: Chooser::new(way, &weights), lines, way }
+        Backend { chooser: Chooser::new(way, &weights), lines, way, version: 0 }
     }
 
     pub fn lines(&self) -> &[Line] {
@@ -100,12 +102,23 @@
 
     pub fn add(&mut self, line: Line) {
         self.lines.push(line);
-        *self = Backend::new(self.way, std::mem::take(&mut self.lines));
+        self.lay_anew();
     }
 
     pub fn remove(&mut self, name: &str) {
         self.lines.retain(|line| line.name != name);
-        *self = Backend::new(self.way, std::mem::take(&mut self.lines));
+        self.lay_anew();
+    }
+
+    fn lay_anew(&mut self) {
+        let weights: Vec<u32> = self.lines.iter().map(Line::share).collect();
+        self.chooser = Chooser::new(self.way, &weights);
+    }
+
+    /// Whether it gives the same choices as another.
+    fn same(&self, other: &Backend) -> bool {
+        let of = |line: &Line| (line.name.clone(), line.address, line.share());
+        self.lines.len() == other.lines.len() && self.lines.iter().zip(&other.lines).all(|(a, b)| of(a) == of(b))
     }
 }
 
@@ -157,6 +170,19 @@
     pub vars: BTreeMap<String, i64>,
     pub fronts: BTreeMap<String, Front>,
     chance: WyRand,
+    /// Of the sets of orders that took effect.
+    pub version: u64,
+    /// The last prepared set that was committed, and the greatest epoch that a pilot named.
+    pub committed: u64,
+    pub epoch: i64,
+}
+
+/// What orders change, as it was at a time.
+#[derive(Clone, Debug)]
+pub struct Tables {
+    backends: BTreeMap<String, Backend>,
+    map: BTreeMap<String, String>,
+    vars: BTreeMap<String, i64>,
 }
 
 impl Held {
@@ -180,9 +206,36 @@
             vars: BTreeMap::new(),
             fronts: classes.iter().map(|class| (class.clone(), Front::default())).collect(),
             chance: WyRand::new_seed(seed),
+            version: 0,
+            committed: 0,
+            epoch: i64::MIN,
         }
     }
 
+    pub fn tables(&self) -> Tables {
+        Tables { backends: self.backends.clone(), map: self.map.clone(), vars: self.vars.clone() }
+    }
+
+    /// All as it was; for orders that were carried out in the same moment, so that no visit is lost.
+    pub fn restore(&mut self, tables: Tables) {
+        (self.backends, self.map, self.vars) = (tables.backends, tables.map, tables.vars);
+    }
+
+    /// A set of orders took effect; tables that it changed carry its version.
+    pub fn took_effect(&mut self, before: &Tables) {
+        self.version += 1;
+        for (name, backend) in &mut self.backends {
+            if !before.backends.get(name).is_some_and(|was| was.same(backend)) {
+                backend.version = self.version;
+            }
+        }
+    }
+
+    /// The version of the table that a class is on.
+    pub fn table_version(&self, backend: &str) -> u64 {
+        self.backends.get(backend).map_or(0, |backend| backend.version)
+    }
+
     /// Counts a visit that came, and says whether the level of its class lets it in. The draw, from 0 up
     /// to 1, stays with the client, so that one who comes again is refused again.
     pub fn lets_in(&mut self, class: &str, draw: f64) -> bool {
--- /dev/null
+++ b/crates/proxy/src/io/running.rs
@@ -0,0 +1,182 @@
+//! A proxy that runs: its sockets, and what its visits and orders share.
+
+use std::cell::{RefCell, RefMut};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lockcroft_runtime::{Address, Command, Listener};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, spawn_local};
+
+use super::guard::Guard;
+use super::pool::Pool;
+use super::{control, forward};
+use crate::budget::Budget;
+use crate::held::Held;
+use crate::post::ProxyPost;
+
+/// How often connections that nobody uses are looked for.
+const TIDY: Duration = Duration::from_secs(5);
+
+/// What all of a proxy's visits and orders share; on one thread, so that nobody waits for a lock.
+pub struct Core {
+    pub post: ProxyPost,
+    pub start: Instant,
+    held: RefCell<Held>,
+    pub pool: RefCell<Pool>,
+    pub budget: RefCell<Budget>,
+    /// Microseconds of answered tries, by endpoint and class.
+    pub times: RefCell<BTreeMap<(String, String), Histogram<u64>>>,
+    /// Something ended or changed: there may be room at an endpoint.
+    pub room: Notify,
+    pub waiting: RefCell<usize>,
+    clients: RefCell<usize>,
+}
+
+impl Core {
+    pub fn held(&self) -> RefMut<'_, Held> {
+        self.held.borrow_mut()
+    }
+
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// # Panics
+    /// Never: the histogram's bounds are constants.
+    pub fn took(&self, endpoint: &str, class: &str, took: Duration) {
+        let mut times = self.times.borrow_mut();
+        let key = (endpoint.to_string(), class.to_string());
+        let new = || Histogram::new_with_bounds(1, 600_000_000, 2).expect("bounds are in order");
+        times.entry(key).or_insert_with(new).saturating_record(took.as_micros() as u64);
+    }
+
+    /// Commands that are about sockets and times rather than tables.
+    pub fn own(&self, commands: &[Command]) -> Option<String> {
+        let [command] = commands else { return None };
+        if command.text() != "show times" {
+            return None;
+        }
+        let mut text = "# endpoint class answered p50_ms p99_ms most_ms\n".to_string();
+        for ((endpoint, class), times) in self.times.borrow().iter() {
+            let ms = |micros: u64| micros as f64 / 1e3;
+            // Writing to a String cannot fail.
+            let _ = writeln!(
+                text,
+                "{endpoint} {class} {} {:.1} {:.1} {:.1}",
+                times.len(),
+                ms(times.value_at_quantile(0.5)),
+                ms(times.value_at_quantile(0.99)),
+                ms(times.max())
+            );
+        }
+        Some(text + "\n")
+    }
+}
+
+/// A running proxy; it ends when this is dropped, with all its connections.
+pub struct Proxy {
+    pub visits: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Proxy {
+    /// Starts on the thread's local task set.
+    ///
+    /// # Errors
+    /// A socket can't be had.
+    pub async fn start(post: ProxyPost) -> io::Result<Self> {
+        let classes: Vec<String> = post.classes.iter().map(|(name, _)| name.clone()).collect();
+        let held = Held::new(&post.name, &classes, &post.standing, post.limits, post.seed);
+        let listener = TcpListener::bind(post.visits).await?;
+        let visits = listener.local_addr()?;
+        let core = Rc::new(Core {
+            budget: RefCell::new(Budget::new(post.second_share)),
+            start: Instant::now(),
+            held: RefCell::new(held),
+            pool: RefCell::default(),
+            times: RefCell::default(),
+            room: Notify::new(),
+            waiting: RefCell::new(0),
+            clients: RefCell::new(0),
+            post,
+        });
+        let mut tasks = Vec::new();
+        for address in &core.post.control {
+            let listener = Listener::bind(address).await?;
+            tasks.push(spawn_local(control::listen(listener, core.clone())));
+        }
+        tasks.push(spawn_local(take_visits(listener, core.clone())));
+        tasks.push(spawn_local(async move {
+            loop {
+                tokio::time::sleep(TIDY).await;
+                core.pool.borrow_mut().tidy();
+            }
+        }));
+        Ok(Proxy { visits, tasks })
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn take_visits(listener: TcpListener, core: Rc<Core>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors, say: give others time to end.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if *core.clients.borrow() >= core.post.clients_most {
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        *core.clients.borrow_mut() += 1;
+        let core = core.clone();
+        spawn_local(async move {
+            let own = core.clone();
+            let service = service_fn(move |visit| {
+                let core = own.clone();
+                async move { forward::forward(visit, core).await }
+            });
+            let mut http = hyper::server::conn::http1::Builder::new();
+            http.timer(TokioTimer::new()).header_read_timeout(core.post.silent_most);
+            // A client that breaks off, or is cut off, concerns nobody else.
+            let _ = http.serve_connection(TokioIo::new(Guard::new(stream)), service).await;
+            *core.clients.borrow_mut() -= 1;
+        });
+    }
+}
+
+/// Runs a proxy until it is told to end.
+///
+/// # Errors
+/// A socket can't be had.
+pub async fn serve(post: ProxyPost) -> io::Result<()> {
+    let sockets = post.control.clone();
+    let name = post.name.clone();
+    let _proxy = Proxy::start(post).await?;
+    tracing::info!(target: "lockcroft::proxy", name, "started");
+    let mut ends = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = ends.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    for address in sockets {
+        if let Address::Unix(path) = address {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+    Ok(())
+}
--- a/crates/runtime/src/session.rs
+++ b/crates/runtime/src/session.rs
@@ -145,6 +145,15 @@
         After::Stay
     }
 
+    /// Whether the connection stays after a line.
+    pub fn lasting(&self) -> bool {
+        self.lasting
+    }
+
+    pub fn may(&self, level: Level) -> bool {
+        self.level >= level
+    }
+
     /// The empty line behind an answer, and the prompt if there is one.
     pub fn end(&self, out: &mut String) {
         out.push('\n');
