Rehearse through the real proxy: taps on its control socket, each choice held against its table

Need: tests should depend on nobody's proxy, and on no stand-in relay. Change: the stand-in relay goes; proxies run many to a thread behind a tap that can hold a line in the middle or break between order and answer; two verdicts more, choices by table (the proxy names table and version, the checker works out from the orders what it held) and second tries after one that ran; both find what is planted. lockcroft proxy FILE.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
+use lockcroft_proxy::ProxyPost;
 use lockcroft_runtime::{Address, ask};
 use lockcroft_terms::{Faults, Post};
 use serde_json::json;
@@ -27,6 +28,9 @@
     /// Run a pilot until SIGTERM; proxies keep their tables then.
     #[command(after_help = "Example: lockcroft serve /etc/lockcroft/pilot.xml")]
     Serve { file: PathBuf },
+    /// Run a proxy that follows the tables of a pilot, until SIGTERM.
+    #[command(after_help = "Example: lockcroft proxy /etc/lockcroft/proxy.xml")]
+    Proxy { file: PathBuf },
     /// Check a settings file, and the roster that it names, without starting anything.
     #[command(after_help = "Example: lockcroft check --json /etc/lockcroft/pilot.xml")]
     Check {
@@ -66,6 +70,7 @@
 fn main() -> ExitCode {
     match Cli::parse().task {
         Task::Serve { file } => serve(&file),
+        Task::Proxy { file } => proxy(&file),
         Task::Check { file, json } => check(&file, json),
         Task::Ask { address, command, within, json } => ask_one(&address, &command, within, json),
         Task::Rehearse { day, json, keep } => rehearse::rehearse(&day, json.as_deref(), keep),
@@ -105,6 +110,30 @@
     }
 }
 
+fn proxy(file: &std::path::Path) -> ExitCode {
+    let post = match ProxyPost::open(file) {
+        Ok(post) => post,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(2);
+        }
+    };
+    let run = || {
+        let _logs = lockcroft_pilot::start_logs(&post.log)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| e.to_string())?;
+        let serving = lockcroft_proxy::serve(post.clone());
+        tokio::task::LocalSet::new().block_on(&runtime, serving).map_err(|e| e.to_string())
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("lockcroft: {wrong}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn check(file: &std::path::Path, json: bool) -> ExitCode {
     match open(file, json) {
         Ok(post) if json => println!("{}", json!({"faults": [], "proxies": post.proxies.len()})),
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -20,6 +20,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use tracing::{info, warn};
 
+pub use crate::logs::{Logs, start as start_logs};
+
 use crate::station::Station;
 use crate::streams::Hand;
 
--- a/crates/proxy/benches/choose.rs
+++ b/crates/proxy/benches/choose.rs
@@ -88,20 +88,32 @@
     times.sort_by(|a, b| a.0.total_cmp(&b.0));
     let (chosen, changed) = times[2];
     let all = chosen + changed / CHOICES as f64;
-    println!("{lines:6} lines  {name:24} {chosen:9.0} ns a choice {changed:9.0} ns a change {all:9.0} ns together");
+    println!(
+        "{lines:6} lines  {name:24} {chosen:9.0} ns a choice {changed:9.0} ns a change {all:9.0} ns together"
+    );
 }
 
 fn main() {
     for lines in [10, 600, 10_000] {
         let weights: Vec<u32> = (0..lines).map(|place| 1 + (place * 37 % 256) as u32).collect();
         let other = |round: usize| (round * 7919 % lines, 1 + (round * 31 % 256) as u32);
-        let mut scan = ScanWheel { weights: weights.iter().map(|w| i64::from(*w)).collect(), owed: vec![0; lines] };
+        let mut scan =
+            ScanWheel { weights: weights.iter().map(|w| i64::from(*w)).collect(), owed: vec![0; lines] };
         let cell = std::cell::RefCell::new(&mut scan);
-        time("wheel, plain scan", lines, || drop(black_box(cell.borrow_mut().next())), |round| {
-            let (place, weight) = other(round);
-            cell.borrow_mut().weights[place] = i64::from(weight);
-        });
-        for (name, way) in [("wheel, heap", Way::Wheel), ("lottery, tree", Way::Lottery), ("pair, tree", Way::Pair)] {
+        time(
+            "wheel, plain scan",
+            lines,
+            || {
+                black_box(cell.borrow_mut().next());
+            },
+            |round| {
+                let (place, weight) = other(round);
+                cell.borrow_mut().weights[place] = i64::from(weight);
+            },
+        );
+        for (name, way) in
+            [("wheel, heap", Way::Wheel), ("lottery, tree", Way::Lottery), ("pair, tree", Way::Pair)]
+        {
             let chooser = std::cell::RefCell::new(Chooser::new(way, &weights));
             let mut chance = WyRand::new_seed(1);
             let mut choose = || {
@@ -114,17 +126,31 @@
         }
         let plain = std::cell::RefCell::new(weights.clone());
         let mut chance = WyRand::new_seed(1);
-        time("lottery, plain scan", lines, || drop(black_box(scan_draw(&plain.borrow(), &mut chance))), |round| {
-            let (place, weight) = other(round);
-            plain.borrow_mut()[place] = weight;
-        });
+        time(
+            "lottery, plain scan",
+            lines,
+            || {
+                black_box(scan_draw(&plain.borrow(), &mut chance));
+            },
+            |round| {
+                let (place, weight) = other(round);
+                plain.borrow_mut()[place] = weight;
+            },
+        );
         let alias = std::cell::RefCell::new((Alias::new(&weights), weights.clone()));
         let mut chance = WyRand::new_seed(1);
-        time("lottery, alias", lines, || drop(black_box(alias.borrow().0.draw(&mut chance))), |round| {
-            let (place, weight) = other(round);
-            let mut alias = alias.borrow_mut();
-            alias.1[place] = weight;
-            alias.0 = Alias::new(&alias.1);
-        });
+        time(
+            "lottery, alias",
+            lines,
+            || {
+                black_box(alias.borrow().0.draw(&mut chance));
+            },
+            |round| {
+                let (place, weight) = other(round);
+                let mut alias = alias.borrow_mut();
+                alias.1[place] = weight;
+                alias.0 = Alias::new(&alias.1);
+            },
+        );
     }
 }
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -118,7 +118,8 @@
     /// Whether it gives the same choices as another.
     fn same(&self, other: &Backend) -> bool {
         let of = |line: &Line| (line.name.clone(), line.address, line.share());
-        self.lines.len() == other.lines.len() && self.lines.iter().zip(&other.lines).all(|(a, b)| of(a) == of(b))
+        self.lines.len() == other.lines.len()
+            && self.lines.iter().zip(&other.lines).all(|(a, b)| of(a) == of(b))
     }
 }
 
--- a/crates/proxy/src/io/control.rs
+++ b/crates/proxy/src/io/control.rs
@@ -14,15 +14,23 @@
     while let Ok(stream) = listener.accept().await {
         let core = core.clone();
         // A broken connection concerns its pilot alone; what came of its line in part is dropped with it.
-        spawn_local(async move { converse(stream, &core).await });
+        spawn_local(async move {
+            tokio::select! {
+                _ = converse(stream, &core) => {}
+                () = core.end() => {}
+            }
+        });
     }
 }
 
 async fn converse(mut stream: Box<dyn Stream>, core: &Core) -> io::Result<()> {
     let (mut feed, mut orders) = (Feed::default(), Orders::new(Level::Admin));
     loop {
-        while let Some(commands) = feed.next_line().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))? {
-            let stall = core.post.stall_a_line * commands.iter().filter(|command| changes(command)).count() as u32;
+        while let Some(commands) =
+            feed.next_line().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?
+        {
+            let stall =
+                core.post.stall_a_line * commands.iter().filter(|command| changes(command)).count() as u32;
             if !stall.is_zero() {
                 // Laying tables keeps such a proxy from everything else.
                 std::thread::sleep(stall);
--- a/crates/proxy/src/io/forward.rs
+++ b/crates/proxy/src/io/forward.rs
@@ -26,8 +26,15 @@
 const UNREAD: &str = "x-unread";
 
 /// Of one hop only, by the standard; `Connection` may name more.
-const HOP: [&str; 7] =
-    ["keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection", "proxy-authorization"];
+const HOP: [&str; 7] = [
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-connection",
+    "proxy-authorization",
+];
 
 type Answer = Response<Body>;
 
@@ -121,9 +128,9 @@
 /// From 0 up to 1; the same for a client who comes again.
 fn draw(visit: &Visit) -> f64 {
     let who = text(&visit.headers, CLIENT).unwrap_or(&visit.id);
-    let mixed = who.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |sum, byte| {
-        (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let mixed = who
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
     (mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1_u64 << 53) as f64
 }
 
@@ -185,7 +192,13 @@
     Some(Load::Passing(Some(StreamBody::new(rest).boxed_unsync())))
 }
 
-async fn attempt(visit: &Visit, chosen: &Chosen, load: &mut Load, left: Duration, core: &Core) -> (Ending, Answer) {
+async fn attempt(
+    visit: &Visit,
+    chosen: &Chosen,
+    load: &mut Load,
+    left: Duration,
+    core: &Core,
+) -> (Ending, Answer) {
     match timeout(left, exchange(visit, chosen, load, core)).await {
         Ok((Ending::Refused, _)) => (Ending::Refused, plain(StatusCode::BAD_GATEWAY)),
         Ok((ending, Some(answer))) => (ending, answer),
@@ -199,12 +212,16 @@
     let kept = core.pool.borrow_mut().take(chosen.address);
     if let Some(sender) = kept {
         match send(sender, message).await {
-            (Sent::Answered(answer, sender), _) => return answered(answer, sender, chosen.address, core).await,
+            (Sent::Answered(answer, sender), _) => {
+                return answered(answer, sender, chosen.address, core).await;
+            }
             (Sent::Unsent, Some(back)) => message = back,
             _ => return (Ending::Broken, None),
         }
     }
-    let Some(sender) = dial(chosen.address, core.post.connect_within).await else { return (Ending::Refused, None) };
+    let Some(sender) = dial(chosen.address, core.post.connect_within).await else {
+        return (Ending::Refused, None);
+    };
     match send(sender, message).await {
         (Sent::Answered(answer, sender), _) => answered(answer, sender, chosen.address, core).await,
         (Sent::Unsent, Some(_)) => (Ending::Refused, None),
--- a/crates/proxy/src/io/guard.rs
+++ b/crates/proxy/src/io/guard.rs
@@ -161,7 +161,11 @@
 }
 
 impl AsyncRead for Guard {
-    fn poll_read(mut self: Pin<&mut Self>, context: &mut Context<'_>, into: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         if self.refused.is_some() {
             return self.refuse(context);
         }
@@ -179,7 +183,11 @@
 }
 
 impl AsyncWrite for Guard {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
         if self.refused.is_some() {
             return Poll::Ready(Ok(bytes.len()));
         }
--- a/crates/proxy/src/io/running.rs
+++ b/crates/proxy/src/io/running.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use lockcroft_runtime::{Address, Command, Listener};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::guard::Guard;
@@ -39,6 +39,8 @@
     pub room: Notify,
     pub waiting: RefCell<usize>,
     clients: RefCell<usize>,
+    /// The proxy ends: so do its connections.
+    ended: watch::Sender<bool>,
 }
 
 impl Core {
@@ -46,6 +48,12 @@
         self.held.borrow_mut()
     }
 
+    /// Until the proxy ends.
+    pub async fn end(&self) {
+        // The sender lives as long as this.
+        let _ = self.ended.subscribe().wait_for(|ended| *ended).await;
+    }
+
     pub fn now(&self) -> Duration {
         self.start.elapsed()
     }
@@ -85,6 +93,7 @@
 /// A running proxy; it ends when this is dropped, with all its connections.
 pub struct Proxy {
     pub visits: SocketAddr,
+    core: Rc<Core>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -107,6 +116,7 @@
             room: Notify::new(),
             waiting: RefCell::new(0),
             clients: RefCell::new(0),
+            ended: watch::Sender::new(false),
             post,
         });
         let mut tasks = Vec::new();
@@ -115,19 +125,31 @@
             tasks.push(spawn_local(control::listen(listener, core.clone())));
         }
         tasks.push(spawn_local(take_visits(listener, core.clone())));
+        let tidied = core.clone();
         tasks.push(spawn_local(async move {
             loop {
                 tokio::time::sleep(TIDY).await;
-                core.pool.borrow_mut().tidy();
+                tidied.pool.borrow_mut().tidy();
             }
         }));
-        Ok(Proxy { visits, tasks })
+        Ok(Proxy { visits, core, tasks })
+    }
+}
+
+impl Proxy {
+    /// Ends it; when this is over, its addresses are free.
+    pub async fn stop(mut self) {
+        for task in std::mem::take(&mut self.tasks) {
+            task.abort();
+            let _ = task.await;
+        }
     }
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
         self.tasks.iter().for_each(JoinHandle::abort);
+        self.core.ended.send_replace(true);
     }
 }
 
@@ -153,7 +175,11 @@
             let mut http = hyper::server::conn::http1::Builder::new();
             http.timer(TokioTimer::new()).header_read_timeout(core.post.silent_most);
             // A client that breaks off, or is cut off, concerns nobody else.
-            let _ = http.serve_connection(TokioIo::new(Guard::new(stream)), service).await;
+            let serving = http.serve_connection(TokioIo::new(Guard::new(stream)), service);
+            tokio::select! {
+                _ = serving => {}
+                () = core.end() => {}
+            }
             *core.clients.borrow_mut() -= 1;
         });
     }
--- a/crates/proxy/src/orders.rs
+++ b/crates/proxy/src/orders.rs
@@ -39,12 +39,13 @@
                     After::Stay
                 }
                 None => {
-                    let (desk, refused) = (self.prepared.as_mut().map_or(&mut *held, |(_, held, _)| held), &mut refused);
+                    let (desk, refused) =
+                        (self.prepared.as_mut().map_or(&mut *held, |(_, held, _)| held), &mut refused);
                     let after = self.session.command(command, &mut Noting { held: desk, refused }, out);
-                    if changes(command) {
-                        if let Some((_, _, commands)) = &mut self.prepared {
-                            commands.push(command.clone());
-                        }
+                    if changes(command)
+                        && let Some((_, _, commands)) = &mut self.prepared
+                    {
+                        commands.push(command.clone());
                     }
                     after
                 }
@@ -60,7 +61,10 @@
                 out.truncate(begun);
                 for command in commands {
                     if changes(command) {
-                        out.push_str(&format!("Not done, as an order of its set was refused: {}\n", why.trim()));
+                        out.push_str(&format!(
+                            "Not done, as an order of its set was refused: {}\n",
+                            why.trim()
+                        ));
                     }
                     self.session.end(out);
                 }
@@ -108,7 +112,8 @@
     fn commit(&mut self, version: &str, held: &mut Held) -> Result<String, String> {
         let out_of_range = || "Version number out of range.".to_string();
         let version: u64 = version.strip_prefix('@').and_then(|v| v.parse().ok()).ok_or_else(out_of_range)?;
-        let (_, _, commands) = self.prepared.take().filter(|(own, ..)| *own == version).ok_or_else(out_of_range)?;
+        let (_, _, commands) =
+            self.prepared.take().filter(|(own, ..)| *own == version).ok_or_else(out_of_range)?;
         if version <= held.committed {
             return Err(out_of_range());
         }
--- a/crates/proxy/src/post.rs
+++ b/crates/proxy/src/post.rs
@@ -49,7 +49,12 @@
 
 impl ProxyPost {
     /// A post with everything as it is where nothing is stated.
-    pub fn new(name: &str, visits: SocketAddr, control: Vec<Address>, classes: Vec<(String, Duration)>) -> Self {
+    pub fn new(
+        name: &str,
+        visits: SocketAddr,
+        control: Vec<Address>,
+        classes: Vec<(String, Duration)>,
+    ) -> Self {
         ProxyPost {
             name: name.into(),
             visits,
@@ -84,7 +89,8 @@
         let tree = document.tree();
         let root = tree.root_element();
         let part = |name: &'static str| root.children().find(|node| node.has_tag_name(name));
-        let (mut faults, mut control, mut standing, mut classes) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let (mut faults, mut control, mut standing, mut classes) =
+            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         for node in root.descendants().filter(Node::is_element) {
             let name = node.attribute("name").unwrap_or_default().to_string();
             let address = node.attribute("address").unwrap_or_default();
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use lockcroft_proxy::{ProxyPost, Way};
 use lockcroft_terms::{Document, Faults, span};
 use roxmltree::Node;
 
@@ -34,12 +35,28 @@
     pub queue: usize,
 }
 
+/// Proxies; what is not stated stays as a proxy has it of itself.
 #[derive(Clone, Debug)]
 pub struct Relays {
     pub per_zone: usize,
     pub standing: usize,
-    pub shuns_for: Duration,
-    pub try_most: Duration,
+    pub way: Option<Way>,
+    pub shuns_for: Option<Duration>,
+    pub try_most: Option<Duration>,
+    pub second_share: Option<f64>,
+    pub outstanding_most: Option<usize>,
+    pub waiting_most: Option<usize>,
+}
+
+impl Relays {
+    pub fn apply(&self, post: &mut ProxyPost) {
+        post.limits.way = self.way.unwrap_or(post.limits.way);
+        post.limits.shuns_for = self.shuns_for.unwrap_or(post.limits.shuns_for);
+        post.limits.outstanding_most = self.outstanding_most.unwrap_or(post.limits.outstanding_most);
+        post.try_most = self.try_most.unwrap_or(post.try_most);
+        post.second_share = self.second_share.unwrap_or(post.second_share);
+        post.waiting_most = self.waiting_most.unwrap_or(post.waiting_most);
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -107,8 +124,12 @@
         let relays = all("relays").next().map(|node| Relays {
             per_zone: number(node, "per-zone", 1.0) as usize,
             standing: number(node, "standing", 8.0) as usize,
-            shuns_for: time(node, "shuns-for").unwrap_or(Duration::from_secs(5)),
-            try_most: time(node, "try-most").unwrap_or(Duration::from_secs(60)),
+            way: node.attribute("way").and_then(|way| way.parse().ok()),
+            shuns_for: time(node, "shuns-for"),
+            try_most: time(node, "try-most"),
+            second_share: node.attribute("second-share").and_then(|share| share.parse().ok()),
+            outstanding_most: node.attribute("outstanding-most").and_then(|most| most.parse().ok()),
+            waiting_most: node.attribute("waiting-most").and_then(|most| most.parse().ok()),
         });
         let endpoints = all("endpoints").map(|node| Endpoints {
             kind: text(node, "kind"),
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,19 +5,23 @@
 mod meter;
 mod pilot;
 mod play;
+mod proxies;
 mod roster;
 mod rules;
 mod score;
 mod seen;
 mod stage;
+mod wire;
 
 pub use day::{Day, Trouble, TroubleKind};
 pub use meter::Load;
 pub use pilot::PilotProcess;
 pub use play::{Report, play};
+pub use proxies::Hosts;
 pub use rules::{Limits, Verdict, judge};
 pub use score::{Score, score};
-pub use stage::{Stage, settings};
+pub use stage::{Relay, Stage, settings};
+pub use wire::{Stall, Wire};
 
 /// The schema of days.
 pub const SCHEMA: &str = include_str!("../day.xsd");
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use lockcroft_runtime::{Address, ask};
-use lockcroft_standin::{Caller, ClassTerms, Mode, Record, Stall, call_on};
+use lockcroft_standin::{Caller, ClassTerms, Mode, Record, call_on};
 use serde::Serialize;
 
 use crate::day::{Day, Trouble, TroubleKind};
@@ -13,7 +13,8 @@
 use crate::pilot::PilotProcess;
 use crate::rules::{Verdict, judge};
 use crate::score::{Score, score};
-use crate::stage::Stage;
+use crate::stage::{Relay, Stage};
+use crate::wire::Stall;
 
 /// What came of a day.
 #[derive(Clone, Debug, Serialize)]
@@ -81,7 +82,9 @@
 /// # Errors
 /// The day can't be staged, or a trouble names who is not there.
 pub async fn play(day: &Day, program: &Path, folder: &Path, tell: impl Fn(&str)) -> Result<Report, String> {
-    let mut stage = Stage::build(day, folder).await?;
+    // One core is the pilot's, one for endpoints and callers at the least.
+    let cores = std::thread::available_parallelism().map_or(2, std::num::NonZero::get);
+    let mut stage = Stage::build(day, folder, cores.saturating_sub(2)).await?;
     let mut steps = Vec::new();
     for trouble in &day.troubles {
         check(&stage, trouble)?;
@@ -101,7 +104,7 @@
     for step in steps.iter().filter(|step| step.at < day.length) {
         tokio::time::sleep(step.at.saturating_sub(stage.tap.now())).await;
         tell(&format!("{:5.1} s: {:?} {:?}", step.at.as_secs_f64(), step.trouble.kind, step.phase));
-        act(step, &mut stage, &mut pilot, &caller)?;
+        act(step, &mut stage, &mut pilot, &caller).await?;
         if step.trouble.kind == TroubleKind::Ask && step.phase == Phase::Begins {
             let answer = ask_pilot(&stage, &step.trouble.command).await;
             tell(answer.trim());
@@ -149,22 +152,27 @@
 fn check(stage: &Stage, trouble: &Trouble) -> Result<(), String> {
     stage.meant(&trouble.servers, trouble.zone.as_deref())?;
     if let Some(name) = &trouble.relay
-        && !stage.relays.iter().any(|relay| relay.terms.name == *name)
+        && !stage.relays.iter().any(|relay| relay.name == *name)
     {
         return Err(format!("no relay {name:?}"));
     }
     Ok(())
 }
 
-fn act(step: &Step<'_>, stage: &mut Stage, pilot: &mut PilotProcess, caller: &Caller) -> Result<(), String> {
+async fn act(
+    step: &Step<'_>,
+    stage: &mut Stage,
+    pilot: &mut PilotProcess,
+    caller: &Caller,
+) -> Result<(), String> {
     let (trouble, begins) = (step.trouble, step.phase == Phase::Begins);
     let servers = stage.meant(&trouble.servers, trouble.zone.as_deref())?;
     let set = |stage: &Stage, mode: Mode| {
         let mode = if begins { mode } else { Mode::Well };
         servers.iter().for_each(|name| stage.endpoints[name].set(mode));
     };
-    let relays: Vec<_> =
-        stage.relays.iter().filter(|relay| Some(&relay.terms.name) == trouble.relay.as_ref()).collect();
+    let meant = |relay: &&Relay| Some(&relay.name) == trouble.relay.as_ref();
+    let relays: Vec<&Relay> = stage.relays.iter().filter(meant).collect();
     match trouble.kind {
         TroubleKind::Hang => set(stage, Mode::Hang),
         TroubleKind::Errors => set(stage, Mode::Errors),
@@ -175,12 +183,16 @@
         TroubleKind::Lie => list(stage, &servers, if begins { "gone" } else { "ready" })?,
         TroubleKind::StallRelay if begins => {
             let lasts = trouble.lasts.unwrap_or(Duration::from_secs(3));
-            relays.iter().for_each(|relay| relay.stall(Stall::Still(trouble.after_commands, lasts)));
+            relays.iter().for_each(|relay| relay.wire.stall(Stall::Still(trouble.after_commands, lasts)));
         }
         TroubleKind::BreakRelay if begins => {
-            relays.iter().for_each(|relay| relay.stall(Stall::Break(trouble.after_commands)));
+            relays.iter().for_each(|relay| relay.wire.stall(Stall::Break(trouble.after_commands)));
+        }
+        TroubleKind::RestartRelay if begins => {
+            for relay in relays {
+                stage.restart(relay).await?;
+            }
         }
-        TroubleKind::RestartRelay if begins => relays.iter().for_each(|relay| relay.restart()),
         TroubleKind::StallRelay | TroubleKind::BreakRelay | TroubleKind::RestartRelay | TroubleKind::Ask => {}
         TroubleKind::KillPilot if begins => pilot.kill(),
         TroubleKind::KillPilot => pilot.again().map_err(|e| e.to_string())?,
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -101,7 +101,29 @@
     if let Some(last) = records.last() {
         judge.bare_now(last.at);
     }
-    vec![judge.bare, judge.twice, judge.drains, judge.pushed, judge.queue, judge.messages]
+    let choices = judge.choices(records);
+    let second = second_tries(records);
+    vec![judge.bare, judge.twice, judge.drains, judge.pushed, judge.queue, judge.messages, choices, second]
+}
+
+/// No visit is sent anywhere once it has begun to run somewhere: callers of a day do not repeat
+/// theirs, so a later arrival is a proxy's second try.
+fn second_tries(records: &[Record]) -> Verdict {
+    let mut verdict = Verdict::new("second tries", "tries after one that ran", 0.0);
+    let mut ran = BTreeMap::new();
+    for record in records {
+        match &record.what {
+            What::Ran { visit, endpoint, .. } => drop(ran.insert(*visit, endpoint)),
+            What::Arrived { visit, endpoint, .. } => {
+                if let Some(first) = ran.get(visit) {
+                    let figure = verdict.figure + 1.0;
+                    verdict.met(figure, || format!("visit {visit} at {endpoint} after {first}"));
+                }
+            }
+            _ => {}
+        }
+    }
+    verdict
 }
 
 /// A started process: when, its full capacity, and what came of late.
@@ -155,7 +177,10 @@
                 self.seen(at, relay, |seen| seen.stream(at, *open));
             }
             What::Stalled { relay, on } => self.seen(at, relay, |seen| seen.stall(at, *on)),
-            What::Line { relay, commands } => self.line(at, relay, *commands),
+            What::Line { relay, commands } => {
+                self.seen(at, relay, |seen| seen.line(*commands));
+                self.line(at, relay, *commands);
+            }
             What::Order { relay, command, answer } => {
                 let waiting = self.waiting.entry(relay.clone()).or_default();
                 *waiting = waiting.saturating_sub(1);
@@ -186,6 +211,22 @@
         }
     }
 
+    /// Every choice is held against the table in force: the proxy names it with its version, and what
+    /// that held is known from the orders.
+    fn choices(&self, records: &[Record]) -> Verdict {
+        let mut verdict = Verdict::new("choices by table", "choices outside it", 0.0);
+        for record in records {
+            let What::Arrived { endpoint, relay, table, .. } = &record.what else { continue };
+            let could = self.relays.get(relay).is_some_and(|(seen, _)| seen.could_pick(table, endpoint));
+            if !could {
+                let figure = verdict.figure + 1.0;
+                let at = record.at.as_secs_f64();
+                verdict.met(figure, || format!("{relay} to {endpoint} by {table} at {at:.1} s"));
+            }
+        }
+        verdict
+    }
+
     fn list(&mut self, at: Duration, servers: &[(String, String, Option<Duration>)]) {
         let before = std::mem::take(&mut self.listed);
         let missing = before.iter().filter(|(name, _)| !servers.iter().any(|(known, ..)| known == *name));
--- a/crates/rehearsal/src/seen.rs
+++ b/crates/rehearsal/src/seen.rs
@@ -1,10 +1,10 @@
 //! What each relay held, worked out again from the orders that passed on its socket.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// A line as the orders left it: weight, and whether it is kept from visits.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Line {
     weight: u32,
     barred: bool,
@@ -14,6 +14,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     backends: BTreeMap<String, BTreeMap<String, Line>>,
+    /// Every state that a backend was in, with the version of the set that brought it about; a proxy
+    /// that starts anew counts anew.
+    past: Vec<(String, u64, Vec<String>)>,
+    version: u64,
+    /// Lines of orders on their way: how many orders are left, and those that were answered.
+    sets: VecDeque<(usize, Vec<(String, String)>)>,
     map: BTreeMap<String, String>,
     open: usize,
     stalled: bool,
@@ -26,10 +32,14 @@
     pub fn standing(&mut self, servers: &[String], classes: &[String]) {
         let line = |name: &String| (name.clone(), Line { weight: 256, barred: false });
         self.backends = BTreeMap::from([("standing".into(), servers.iter().map(line).collect())]);
+        self.version = 0;
+        self.sets.clear();
+        self.remember();
         self.map = classes.iter().map(|class| (class.clone(), "standing".into())).collect();
     }
 
     pub fn stream(&mut self, at: Duration, open: bool) {
+        self.sets.clear();
         self.open = if open { self.open + 1 } else { self.open.saturating_sub(1) };
         self.follow(at);
     }
@@ -44,26 +54,66 @@
         self.joined = if follows { self.joined.or(Some(at)) } else { None };
     }
 
-    /// A command and its answer; only those that were carried out change anything.
+    /// So many orders came in as one set.
+    pub fn line(&mut self, orders: usize) {
+        self.sets.push_back((orders, Vec::new()));
+    }
+
+    /// A command and its answer; a set changes something only if all of it was carried out.
     pub fn order(&mut self, command: &str, answer: &str) {
+        let Some((left, answered)) = self.sets.front_mut() else { return };
+        answered.push((command.into(), answer.into()));
+        *left -= 1;
+        if *left > 0 {
+            return;
+        }
+        let set = self.sets.pop_front().map(|(_, set)| set).unwrap_or_default();
+        if set.iter().all(|(_, answer)| done(answer)) {
+            set.iter().for_each(|(command, _)| self.carry_out(command));
+            self.version += 1;
+            self.remember();
+        }
+    }
+
+    /// Backends that are not as they were last.
+    fn remember(&mut self) {
+        for (name, lines) in &self.backends {
+            let open = lines.iter().filter(|(_, line)| line.weight > 0 && !line.barred);
+            let open: Vec<String> = open.map(|(server, line)| format!("{server}={}", line.weight)).collect();
+            let last = self.past.iter().rev().find(|(past, ..)| past == name);
+            if self.version == 0 || last.is_none_or(|(_, _, lines)| *lines != open) {
+                self.past.push((name.clone(), self.version, open));
+            }
+        }
+    }
+
+    /// Whether the table in this state, as `t0@17`, has a line for the server that may be picked.
+    pub fn could_pick(&self, table: &str, server: &str) -> bool {
+        let Some((backend, version)) = table.split_once('@') else { return false };
+        let of = |(name, at, _): &&(String, u64, Vec<String>)| name == backend && version.parse() == Ok(*at);
+        let is = |line: &String| line.split('=').next() == Some(server);
+        self.past.iter().filter(of).any(|(_, _, lines)| lines.iter().any(is))
+    }
+
+    fn carry_out(&mut self, command: &str) {
         let words: Vec<&str> = command.split(' ').collect();
         match words[..] {
-            ["add", "server", place, _, "weight", weight] if answer.starts_with("New server") => {
+            ["add", "server", place, _, "weight", weight] => {
                 let line = Line { weight: weight.parse().unwrap_or(0), barred: true };
                 let (backend, server) = split(place);
                 self.backends.entry(backend).or_default().insert(server, line);
             }
-            ["del", "server", place] if answer.starts_with("Server deleted") => {
+            ["del", "server", place] => {
                 let (backend, server) = split(place);
                 self.backends.entry(backend).or_default().remove(&server);
             }
-            ["set", "server", place, "weight", weight] if answer.is_empty() => {
+            ["set", "server", place, "weight", weight] => {
                 self.at(place, |line| line.weight = weight.parse().unwrap_or(0));
             }
-            ["set", "server", place, "state", state] if answer.is_empty() => {
+            ["set", "server", place, "state", state] => {
                 self.at(place, |line| line.barred = state != "ready");
             }
-            ["set", "map", "classes", class, backend] if answer.is_empty() => {
+            ["set" | "add", "map", "classes", class, backend] => {
                 self.map.insert(class.into(), backend.into());
             }
             _ => {}
@@ -86,6 +136,12 @@
     }
 }
 
+/// Whether an answer is the guide's word of success.
+fn done(answer: &str) -> bool {
+    let words = ["New server registered", "Server deleted", "address changed", "nothing changed"];
+    answer.is_empty() || words.iter().any(|word| answer.starts_with(word))
+}
+
 fn split(place: &str) -> (String, String) {
     let (backend, server) = place.split_once('/').unwrap_or((place, ""));
     (backend.into(), server.into())
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -2,18 +2,32 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use lockcroft_proxy::{Limits as Shuns, Way};
-use lockcroft_standin::{Endpoint, EndpointTerms, Relay, RelayTerms, Tap};
+use lockcroft_proxy::{Limits as Shuns, ProxyPost};
+use lockcroft_runtime::Address;
+use lockcroft_standin::{Endpoint, EndpointTerms, Tap, What};
 use lockcroft_terms::Post;
 use nanorand::{Rng, WyRand};
 
 use crate::day::Day;
+use crate::proxies::Hosts;
 use crate::roster::{Line, RosterFile};
 use crate::rules::Limits;
+use crate::wire::Wire;
+
+/// A proxy of the day, behind the tap on its control socket.
+pub struct Relay {
+    pub name: String,
+    pub visits: SocketAddr,
+    pub wire: Wire,
+    number: usize,
+    post: ProxyPost,
+}
 
 pub struct Stage {
+    hosts: Hosts,
     pub endpoints: BTreeMap<String, Endpoint>,
     pub relays: Vec<Relay>,
     pub roster: RosterFile,
@@ -41,7 +55,7 @@
     ///
     /// # Errors
     /// The day's terms are no settings, or a socket or file can't be had.
-    pub async fn build(day: &Day, folder: &Path) -> Result<Self, String> {
+    pub async fn build(day: &Day, folder: &Path, threads: usize) -> Result<Self, String> {
         let (socket, path) = (folder.join("pilot.sock"), folder.join("pilot.xml"));
         let io = |e: std::io::Error| e.to_string();
         fs::write(&path, settings(day, &socket, "", "<roster/>")).map_err(io)?;
@@ -63,6 +77,10 @@
                 }
             }
         }
+        let hosts = Hosts::new(threads).map_err(io)?;
+        let patience = |i: usize| post.terms.span(&format!("classes.{i}.patience_us"));
+        let classes = post.places.classes.iter().cloned().enumerate();
+        let classes: Vec<_> = classes.map(|(i, name)| (name, patience(i))).collect();
         let mut chance = WyRand::new_seed(day.seed);
         let mut relays = Vec::new();
         let mut proxies = String::new();
@@ -74,26 +92,23 @@
                 let mut near: Vec<_> = lines.iter().filter(|(_, line)| line.zone == *zone).collect();
                 chance.shuffle(&mut near);
                 let near = near.into_iter().take(day.relays.standing);
-                let standing = near.map(|(name, line)| (name.clone(), line.address)).collect();
+                let control = Address::Unix(folder.join(format!("{name}.sock")));
+                let any = SocketAddr::from(([127, 0, 0, 1], 0));
+                let mut proxy = ProxyPost::new(&name, any, vec![control.clone()], classes.clone());
+                proxy.standing = near.map(|(name, line)| (name.clone(), line.address)).collect();
+                day.relays.apply(&mut proxy);
                 let shuns_after = post.terms.number("fleet.shuns_after").unwrap_or(0.0) as u32;
-                let terms = RelayTerms {
-                    name: name.clone(),
-                    classes: post.places.classes.clone(),
-                    standing,
-                    limits: Shuns {
-                        way: Way::Wheel,
-                        outstanding_most: 0,
-                        shuns_after,
-                        shuns_for: day.relays.shuns_for,
-                    },
-                    try_most: day.relays.try_most,
-                };
-                let relay = Relay::start(terms, tap.clone()).await.map_err(io)?;
+                proxy.limits = Shuns { shuns_after, ..proxy.limits };
+                let number = relays.len();
+                proxy.seed = number as u64;
+                proxy.visits = hosts.start(number, proxy.clone()).await.map_err(io)?;
+                standing(&proxy, &tap);
+                let wire = Wire::lay(&name, control, tap.clone()).await.map_err(io)?;
                 proxies += &format!(
                     "<proxy name=\"{name}\" zone=\"{zone}\" address=\"{}\" visits-per-s=\"{share:.2}\"/>\n",
-                    relay.control
+                    wire.address
                 );
-                relays.push(relay);
+                relays.push(Relay { name, visits: proxy.visits, wire, number, post: proxy });
             }
         }
         let mut roster = RosterFile::new(folder.join("roster.xml"), lines, tap.clone());
@@ -101,7 +116,18 @@
         let file = "<roster-file path=\"roster.xml\" look-every=\"100ms\"/>";
         fs::write(&path, settings(day, &socket, &proxies, file)).map_err(io)?;
         let post = Post::open(&path).map_err(|faults| faults.to_string())?;
-        Ok(Stage { endpoints, relays, roster, settings: path, socket, post, limits, tap })
+        Ok(Stage { hosts, endpoints, relays, roster, settings: path, socket, post, limits, tap })
+    }
+
+    /// The proxy's process is gone, with its streams; a new one stands in its place, at its standing table.
+    ///
+    /// # Errors
+    /// Its sockets can't be had again.
+    pub async fn restart(&self, relay: &Relay) -> Result<(), String> {
+        self.hosts.stop(relay.number);
+        standing(&relay.post, &self.tap);
+        let started = self.hosts.start(relay.number, relay.post.clone()).await;
+        started.map(|_| ()).map_err(|e| format!("{}: {e}", relay.name))
     }
 
     /// Endpoints by name or zone.
@@ -120,6 +146,11 @@
     }
 }
 
+fn standing(post: &ProxyPost, tap: &Tap) {
+    let servers = post.standing.iter().map(|(name, _)| name.clone()).collect();
+    tap.put(What::Standing { relay: post.name.clone(), servers });
+}
+
 async fn endpoint(
     name: &str,
     like: &crate::day::Endpoints,
--- /dev/null
+++ b/crates/rehearsal/src/wire.rs
@@ -0,0 +1,151 @@
+//! The tap on a proxy's control socket: pilots dial it, it dials the proxy, and what passes either way
+//! is recorded. It can also hold a line in the middle, or break between order and answer.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use lockcroft_proxy::changes;
+use lockcroft_runtime::{Address, Answers, Stream, dial, split};
+use lockcroft_standin::{Tap, What};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What happens to the next line with more orders than this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stall {
+    /// It stops in the middle for so long, then goes on.
+    Still(usize, Duration),
+    /// It is carried out, and the stream breaks before its answer.
+    Break(usize),
+}
+
+#[derive(Clone)]
+pub struct Wire {
+    pub address: SocketAddr,
+    name: String,
+    to: Address,
+    stall: Arc<Mutex<Option<Stall>>>,
+    tap: Tap,
+}
+
+impl Wire {
+    /// # Errors
+    /// The socket can't be had.
+    pub async fn lay(name: &str, to: Address, tap: Tap) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let wire = Wire { address, name: name.into(), to, stall: Arc::default(), tap };
+        tokio::spawn(wire.clone().listen(listener));
+        Ok(wire)
+    }
+
+    pub fn stall(&self, stall: Stall) {
+        *self.stall.lock().unwrap_or_else(PoisonError::into_inner) = Some(stall);
+    }
+
+    async fn listen(self, listener: TcpListener) {
+        while let Ok((pilot, _)) = listener.accept().await {
+            let wire = self.clone();
+            tokio::spawn(async move {
+                let _ = pilot.set_nodelay(true);
+                let Ok(proxy) = dial(&wire.to).await else { return };
+                wire.tap.put(What::Stream { relay: wire.name.clone(), open: true });
+                let mut talk =
+                    Talk { wire: &wire, asked: VecDeque::new(), answers: Answers::default(), cut: false };
+                // However it ends, it ends for both.
+                let _ = talk.pass(pilot, proxy).await;
+                wire.tap.put(What::Stream { relay: wire.name.clone(), open: false });
+            });
+        }
+    }
+}
+
+/// One stream through the wire.
+struct Talk<'a> {
+    wire: &'a Wire,
+    /// Commands whose answers are still to come.
+    asked: VecDeque<String>,
+    answers: Answers,
+    /// No answer reaches the pilot any more; the stream breaks once all were given.
+    cut: bool,
+}
+
+impl Talk<'_> {
+    async fn pass(&mut self, mut pilot: TcpStream, mut proxy: Box<dyn Stream>) -> io::Result<()> {
+        let (mut down, mut up) = (BytesMut::new(), BytesMut::new());
+        loop {
+            tokio::select! {
+                read = pilot.read_buf(&mut down) => {
+                    if read? == 0 {
+                        return Ok(());
+                    }
+                    while let Some(end) = down.iter().position(|byte| *byte == b'\n') {
+                        let line = down.split_to(end + 1);
+                        self.line(&line, &mut proxy).await?;
+                    }
+                }
+                read = proxy.read_buf(&mut up) => {
+                    if read? == 0 {
+                        return Ok(());
+                    }
+                    self.answers.push(&up);
+                    self.answered();
+                    if self.cut {
+                        if self.asked.is_empty() {
+                            return Ok(());
+                        }
+                        up.clear();
+                        continue;
+                    }
+                    pilot.write_all(&up).await?;
+                    up.clear();
+                }
+            }
+        }
+    }
+
+    async fn line(&mut self, line: &[u8], proxy: &mut Box<dyn Stream>) -> io::Result<()> {
+        let commands = split(String::from_utf8_lossy(line).trim_end());
+        let orders = commands.iter().filter(|command| changes(command)).count();
+        let relay = || self.wire.name.clone();
+        if orders > 0 {
+            self.wire.tap.put(What::Line { relay: relay(), commands: orders });
+        }
+        self.asked.extend(commands.iter().map(|command| command.text()));
+        let stall = {
+            let mut stall = self.wire.stall.lock().unwrap_or_else(PoisonError::into_inner);
+            stall.take_if(|stall| match stall {
+                Stall::Still(after, _) | Stall::Break(after) => orders > *after,
+            })
+        };
+        match stall {
+            Some(Stall::Still(_, time)) => {
+                let half = line.len() / 2;
+                proxy.write_all(&line[..half]).await?;
+                self.wire.tap.put(What::Stalled { relay: relay(), on: true });
+                tokio::time::sleep(time).await;
+                self.wire.tap.put(What::Stalled { relay: relay(), on: false });
+                proxy.write_all(&line[half..]).await
+            }
+            Some(Stall::Break(_)) => {
+                self.cut = true;
+                proxy.write_all(line).await
+            }
+            None => proxy.write_all(line).await,
+        }
+    }
+
+    fn answered(&mut self) {
+        while let Some(answer) = self.answers.next_answer() {
+            let Some(command) = self.asked.pop_front() else { return };
+            if split(&command).first().is_some_and(changes) {
+                let (relay, answer) = (self.wire.name.clone(), answer.trim().to_string());
+                self.wire.tap.put(What::Order { relay, command, answer });
+            }
+        }
+    }
+}
--- a/crates/rehearsal/tests/rules.rs
+++ b/crates/rehearsal/tests/rules.rs
@@ -37,7 +37,14 @@
 }
 
 fn arrived(endpoint: &str, visit: u64, work: f64) -> What {
-    What::Arrived { endpoint: endpoint.into(), relay: "r".into(), visit, class: "look".into(), work }
+    What::Arrived {
+        endpoint: endpoint.into(),
+        relay: "r".into(),
+        visit,
+        class: "look".into(),
+        work,
+        table: "standing@0".into(),
+    }
 }
 
 fn ran(endpoint: &str, visit: u64) -> What {
@@ -61,9 +68,16 @@
     ]
 }
 
-/// What is broken, after the opening and these.
+/// What is broken, after the opening and these; each order comes in on a line of its own, unless its
+/// line stands there.
 fn broken(more: &[Record]) -> Vec<&'static str> {
-    let records: Vec<Record> = opening().into_iter().chain(more.iter().cloned()).collect();
+    let mut records = opening();
+    let lines = more.iter().any(|record| matches!(record.what, What::Line { .. }));
+    for record in more {
+        let own = !lines && matches!(record.what, What::Order { .. });
+        records.extend(own.then(|| Record { at: record.at, what: line(1) }));
+        records.push(record.clone());
+    }
     let verdicts = judge(&records, &limits());
     let broken: BTreeMap<&str, Verdict> =
         verdicts.into_iter().filter(|verdict| !verdict.kept()).map(|v| (v.rule, v)).collect();
@@ -155,3 +169,53 @@
     let many: Vec<Record> = (0..4).map(|n| at(2.0 + f64::from(n), line(1))).collect();
     assert_eq!(broken(&many), ["few messages"]);
 }
+
+#[test]
+fn a_choice_outside_the_table_is_found() {
+    let off = order("set server standing/e1 state maint");
+    let by = |endpoint: &str, table: &str| What::Arrived {
+        endpoint: endpoint.into(),
+        relay: "r".into(),
+        visit: 1,
+        class: "look".into(),
+        work: 0.0,
+        table: table.into(),
+    };
+    assert_eq!(broken(&[at(3.0, off.clone()), at(3.1, by("e2", "standing@1"))]), Vec::<&str>::new());
+    // By the table of before it was allowed, whenever the visit arrives.
+    assert_eq!(broken(&[at(3.0, off.clone()), at(3.1, by("e1", "standing@0"))]), Vec::<&str>::new());
+    for planted in [
+        by("e1", "standing@1"),
+        by("e3", "standing@0"),
+        by("e2", "standing@7"),
+        by("e2", "t0@1"),
+        by("e2", ""),
+    ] {
+        assert_eq!(broken(&[at(3.0, off.clone()), at(3.1, planted)]), ["choices by table"]);
+    }
+}
+
+/// A set of which one order was refused changes nothing, for the checker as for the proxy.
+#[test]
+fn half_a_set_is_none() {
+    let refused = |command: &str| What::Order {
+        relay: "r".into(),
+        command: command.into(),
+        answer: "Not done, as an order of its set was refused: No such server.".into(),
+    };
+    let set = [
+        at(3.0, line(2)),
+        at(3.0, refused("set server standing/e1 state maint")),
+        at(3.0, refused("set server standing/e9 state maint")),
+        at(3.1, arrived("e1", 1, 0.0)),
+    ];
+    assert_eq!(broken(&set), Vec::<&str>::new());
+}
+
+#[test]
+fn a_second_try_after_one_that_ran_is_found() {
+    let day = [at(2.0, arrived("e1", 7, 0.0)), at(2.0, ran("e1", 7)), at(3.0, arrived("e2", 7, 0.0))];
+    assert_eq!(broken(&day), ["second tries"]);
+    let proof = [at(2.0, arrived("e1", 7, 0.0)), at(3.0, arrived("e2", 7, 0.0)), at(3.0, ran("e2", 7))];
+    assert_eq!(broken(&proof), Vec::<&str>::new());
+}
--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Buf, BytesMut};
 
+use crate::feed::PIECE;
+
 /// Collects bytes, gives out whole answers.
 #[derive(Default)]
 pub struct Answers {
@@ -12,6 +14,7 @@
 
 impl Answers {
     pub fn buffer(&mut self) -> &mut BytesMut {
+        self.buffer.reserve(PIECE);
         &mut self.buffer
     }
 
--- a/crates/runtime/src/feed.rs
+++ b/crates/runtime/src/feed.rs
@@ -7,6 +7,9 @@
 /// A line, and a payload, may be so long; the guide's `tune.bufsize`.
 pub const LINE_MOST: usize = 16_384;
 
+/// What is read off a socket at a time.
+pub const PIECE: usize = 4096;
+
 /// A line that has no end within [`LINE_MOST`] bytes: the stream can't be followed any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overlong;
@@ -22,8 +25,9 @@
 }
 
 impl Feed {
-    /// Where to read into.
+    /// Where to read into, with room for what a socket has at a time.
     pub fn buffer(&mut self) -> &mut BytesMut {
+        self.buffer.reserve(PIECE);
         &mut self.buffer
     }
 
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -187,7 +187,8 @@
         let relay: String = crate::header(visit.headers(), "x-relay").unwrap_or_default();
         let work = self.terms.work.get(&path).copied().unwrap_or(0.0);
         let name = || self.terms.name.clone();
-        self.tap.put(What::Arrived { endpoint: name(), relay, visit: id, class: path.clone(), work });
+        let table = crate::header(visit.headers(), "x-table").unwrap_or_default();
+        self.tap.put(What::Arrived { endpoint: name(), relay, visit: id, class: path.clone(), work, table });
         let mode = self.take_in(work);
         let slower = match mode {
             Mode::Hang | Mode::Down => return std::future::pending().await,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,14 +1,12 @@
-//! Small endpoints, relays and callers on loopback, for rehearsals and tests. All that passes on
-//! their sockets goes onto a tap.
+//! Small endpoints and callers on loopback, for rehearsals and tests. All that passes on their
+//! sockets goes onto a tap.
 
 mod callers;
 mod endpoint;
-mod relay;
 mod tap;
 
 pub use callers::{Caller, ClassTerms, call_on};
 pub use endpoint::{Endpoint, EndpointTerms, Mode};
-pub use relay::{Relay, RelayTerms, Stall};
 pub use tap::{Record, Tap, What};
 
 /// A header's value, where it has one that reads as this type.
--- a/crates/standin/src/tap.rs
+++ b/crates/standin/src/tap.rs
@@ -15,7 +15,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub enum What {
     /// A visit's bytes reached an endpoint; `work` is in seconds of one core at full speed.
-    Arrived { endpoint: String, relay: String, visit: u64, class: String, work: f64 },
+    Arrived {
+        endpoint: String,
+        relay: String,
+        visit: u64,
+        class: String,
+        work: f64,
+        /// The table in force at the proxy and its version, as `t0@17`.
+        table: String,
+    },
     /// An endpoint began to carry a visit out.
     Ran { endpoint: String, visit: u64, class: String },
     /// An endpoint's process started, cold; `None` if it stood from the beginning.
