--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -7,7 +7,7 @@
 
 use lockcroft::{Finding, Listed, Server};
 use lockcroft_fleet::{Effect, Helm};
-use lockcroft_proxy::{Backend, Held, Limits, STANDING, Way};
+use lockcroft_proxy::{Held, Limits, STANDING, Way};
 use lockcroft_runtime::{Answers, Feed, Level, Session};
 use lockcroft_terms::{Document, Entry, Post, Roster, SCHEMA};
 
@@ -213,9 +213,9 @@
     pub fn picks(&self, proxy: usize) -> Vec<(String, u32)> {
         let held = &self.peers[proxy].held;
         let backend = held.map.get("look-up").map_or(STANDING, String::as_str);
-        let lines = held.backends.get(backend).map(Backend::lines).unwrap_or_default();
+        let lines = held.backends.get(backend).map(|backend| backend.lines()).unwrap_or_default();
         let open = lines.iter().filter(|line| line.open());
-        let mut picks: Vec<_> = open.map(|line| (line.name.clone(), line.weight)).collect();
+        let mut picks: Vec<_> = open.map(|line| (line.name.to_string(), line.weight)).collect();
         picks.sort();
         picks
     }
--- a/crates/fleet/tests/orders/troubles.rs
+++ b/crates/fleet/tests/orders/troubles.rs
@@ -130,7 +130,8 @@
     let mut stage = Stage::new(2, 1);
     stage.run_to(5500);
     // Somebody else's hand takes a line away.
-    stage.peers[0].held.backends.get_mut("t0").expect("laid").remove("e0");
+    let table = stage.peers[0].held.backends.get_mut("t0").expect("laid");
+    std::rc::Rc::make_mut(table).remove("e0");
     stage.quiet().state(0, Listed::Draining);
     stage.run_to(5700);
     assert!(stage.helm.show_proxies().contains("No such server"), "{}", stage.helm.show_proxies());
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StatRow, StateRow, write_stat, write_states};
 use lockcroft_runtime::{Answer, Command, Desk, Entry, Level};
@@ -75,7 +76,7 @@
             ["show", "stat", ..] => Ok(self.stat()),
             ["show", "info", ..] => Ok(self.info()),
             ["show", "backend"] => {
-                let line = |(name, backend): (&String, &Backend)| {
+                let line = |(name, backend): (&String, &Rc<Backend>)| {
                     format!("{name} {} {}\n", backend.version, backend.lines().len())
                 };
                 Ok("# name version lines\n".to_string() + &self.backends.iter().map(line).collect::<String>())
@@ -110,7 +111,7 @@
     fn change(&mut self, place: &str, change: impl FnOnce(&mut Line)) -> Said {
         self.line(place)?;
         let (backend, server) = place.split_once('/').unwrap_or_default();
-        self.backends.get_mut(backend).map(|backend| backend.change(server, change));
+        self.backends.get_mut(backend).map(|backend| Rc::make_mut(backend).change(server, change));
         Ok(String::new())
     }
 
@@ -127,11 +128,12 @@
             return Err("No such backend.".into());
         }
         let way = self.limits.way;
-        let backend = self.backends.entry(backend.into()).or_insert_with(|| Backend::new(way, Vec::new()));
+        let backend =
+            self.backends.entry(backend.into()).or_insert_with(|| Rc::new(Backend::new(way, Vec::new())));
         if backend.line(server).is_some() {
             return Err("Already exists a server with the same name in backend.".into());
         }
-        backend.add(Line::new(server, address, weight, true));
+        Rc::make_mut(backend).add(Line::new(server, address, weight, true));
         Ok("New server registered.\n".into())
     }
 
@@ -141,7 +143,7 @@
         }
         let (backend, server) = place.split_once('/').unwrap_or_default();
         if let Some(backend) = self.backends.get_mut(backend) {
-            backend.remove(server);
+            Rc::make_mut(backend).remove(server);
         }
         Ok("Server deleted.\n".into())
     }
@@ -192,7 +194,7 @@
         let rows = picked.flat_map(|(name, backend)| {
             backend.lines().iter().map(|line| StateRow {
                 backend: name.clone(),
-                server: line.name.clone(),
+                server: line.name.to_string(),
                 address: line.address.ip().to_string(),
                 port: line.address.port(),
                 running: !line.maint,
@@ -216,7 +218,7 @@
         let lines = self.backends.iter().flat_map(|(name, backend)| {
             backend.lines().iter().map(|line| StatRow {
                 name: name.clone(),
-                server: line.name.clone(),
+                server: line.name.to_string(),
                 status: if line.maint {
                     "MAINT"
                 } else if line.drain {
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use nanorand::WyRand;
@@ -18,7 +19,7 @@
 /// A line of a backend.
 #[derive(Clone, Debug)]
 pub struct Line {
-    pub name: String,
+    pub name: Rc<str>,
     pub address: SocketAddr,
     pub weight: u32,
     pub first_weight: u32,
@@ -72,6 +73,8 @@
 #[derive(Clone, Debug)]
 pub struct Backend {
     lines: Vec<Line>,
+    /// Where each line stands.
+    places: BTreeMap<Rc<str>, usize>,
     chooser: Chooser,
     way: Way,
     /// Of the set of orders that changed it last.
@@ -81,7 +84,8 @@
 impl Backend {
     pub fn new(way: Way, lines: Vec<Line>) -> Self {
         let weights: Vec<u32> = lines.iter().map(Line::share).collect();
-        Backend { chooser: Chooser::new(way, &weights), lines, way, version: 0 }
+        let places = lines.iter().enumerate().map(|(place, line)| (line.name.clone(), place)).collect();
+        Backend { chooser: Chooser::new(way, &weights), lines, places, way, version: 0 }
     }
 
     pub fn lines(&self) -> &[Line] {
@@ -89,12 +93,12 @@
     }
 
     pub fn line(&self, name: &str) -> Option<&Line> {
-        self.lines.iter().find(|line| line.name == name)
+        self.places.get(name).map(|place| &self.lines[*place])
     }
 
     /// Changes a line and with it its turn; `false` if there is none of this name.
     pub fn change(&mut self, name: &str, change: impl FnOnce(&mut Line)) -> bool {
-        let Some(place) = self.lines.iter().position(|line| line.name == name) else { return false };
+        let Some(place) = self.places.get(name).copied() else { return false };
         change(&mut self.lines[place]);
         self.chooser.set(place, self.lines[place].share());
         true
@@ -106,20 +110,22 @@
     }
 
     pub fn remove(&mut self, name: &str) {
-        self.lines.retain(|line| line.name != name);
+        self.lines.retain(|line| *line.name != *name);
         self.lay_anew();
     }
 
     fn lay_anew(&mut self) {
         let weights: Vec<u32> = self.lines.iter().map(Line::share).collect();
         self.chooser = Chooser::new(self.way, &weights);
+        let places = self.lines.iter().enumerate();
+        self.places = places.map(|(place, line)| (line.name.clone(), place)).collect();
     }
 
     /// Whether it gives the same choices as another.
     fn same(&self, other: &Backend) -> bool {
-        let of = |line: &Line| (line.name.clone(), line.address, line.share());
-        self.lines.len() == other.lines.len()
-            && self.lines.iter().zip(&other.lines).all(|(a, b)| of(a) == of(b))
+        let alike =
+            |(a, b): (&Line, &Line)| a.name == b.name && a.address == b.address && a.share() == b.share();
+        self.lines.len() == other.lines.len() && self.lines.iter().zip(&other.lines).all(alike)
     }
 }
 
@@ -162,7 +168,7 @@
 pub struct Held {
     pub name: String,
     pub limits: Limits,
-    pub backends: BTreeMap<String, Backend>,
+    pub backends: BTreeMap<String, Rc<Backend>>,
     /// Class to backend; the map `classes`.
     pub map: BTreeMap<String, String>,
     /// Versions of the map that are being prepared.
@@ -181,7 +187,7 @@
 /// What orders change, as it was at a time.
 #[derive(Clone, Debug)]
 pub struct Tables {
-    backends: BTreeMap<String, Backend>,
+    backends: BTreeMap<String, Rc<Backend>>,
     map: BTreeMap<String, String>,
     vars: BTreeMap<String, i64>,
 }
@@ -200,7 +206,7 @@
         Held {
             name: name.into(),
             limits,
-            backends: BTreeMap::from([(STANDING.to_string(), backend)]),
+            backends: BTreeMap::from([(STANDING.to_string(), Rc::new(backend))]),
             map: classes.iter().map(|class| (class.clone(), STANDING.to_string())).collect(),
             prepared: BTreeMap::new(),
             versions: 0,
@@ -226,8 +232,9 @@
     pub fn took_effect(&mut self, before: &Tables) {
         self.version += 1;
         for (name, backend) in &mut self.backends {
-            if !before.backends.get(name).is_some_and(|was| was.same(backend)) {
-                backend.version = self.version;
+            let was = before.backends.get(name);
+            if !was.is_some_and(|was| Rc::ptr_eq(was, backend) || was.same(backend)) {
+                Rc::make_mut(backend).version = self.version;
             }
         }
     }
@@ -263,14 +270,15 @@
     pub fn choose(&mut self, now: Duration, class: &str, not: Option<&str>) -> Choice {
         let most = if self.limits.outstanding_most > 0 { self.limits.outstanding_most } else { usize::MAX };
         let found = self.map.get(class).and_then(|name| Some((name, self.backends.get_mut(name)?)));
-        let Some((name, Backend { lines, chooser, .. })) = found else { return Choice::Bare };
-        let free = |line: &Line| line.open() && line.shunned_until <= now && Some(line.name.as_str()) != not;
+        let Some((name, backend)) = found else { return Choice::Bare };
+        let Backend { lines, chooser, .. } = Rc::make_mut(backend);
+        let free = |line: &Line| line.open() && line.shunned_until <= now && Some(&*line.name) != not;
         let open = |place: usize| free(&lines[place]) && lines[place].outstanding < most;
         match chooser.next(&mut self.chance, open, |place| lines[place].outstanding) {
             Some(place) => {
                 let line = &mut lines[place];
                 line.outstanding += 1;
-                let (server, address) = (line.name.clone(), line.address);
+                let (server, address) = (line.name.to_string(), line.address);
                 Choice::Line(Chosen { backend: name.clone(), server, address })
             }
             None if lines.iter().any(free) => Choice::Full,
@@ -281,9 +289,10 @@
     /// How a try ended; after so many failures in a row the server is shunned.
     pub fn ended(&mut self, now: Duration, chosen: &Chosen, ending: Ending, took: Duration) {
         let Limits { shuns_after, shuns_for, .. } = self.limits;
-        let lines = self.backends.get_mut(&chosen.backend).into_iter().flat_map(|b| &mut b.lines);
         // A line that went while the visit was under way counts nothing any more.
-        let Some(line) = lines.into_iter().find(|line| line.name == chosen.server) else { return };
+        let Some(backend) = self.backends.get_mut(&chosen.backend).map(Rc::make_mut) else { return };
+        let Some(place) = backend.places.get(&*chosen.server).copied() else { return };
+        let line = &mut backend.lines[place];
         line.outstanding = line.outstanding.saturating_sub(1);
         line.tries += 1;
         match ending {
--- a/crates/proxy/src/io/pool.rs
+++ b/crates/proxy/src/io/pool.rs
@@ -21,7 +21,7 @@
 /// A connection that was not used for so long is closed.
 const IDLE: Duration = Duration::from_secs(15);
 /// So many are kept for an endpoint.
-const KEPT: usize = 32;
+const KEPT: usize = 512;
 
 /// How a visit fared at an endpoint, before its answer's body.
 pub enum Sent {
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -65,6 +65,8 @@
     /// Visits a second, all relays together.
     pub rate: f64,
     pub work: Duration,
+    /// How often a client comes again by itself after a failure, at once.
+    pub comes_again: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -142,6 +144,7 @@
             class: text(node, "class"),
             rate: number(node, "rate", 1.0),
             work: time(node, "work").unwrap_or_default(),
+            comes_again: number(node, "comes-again", 0.0) as u32,
         });
         let mut troubles: Vec<Trouble> = all("trouble").map(trouble).collect();
         troubles.sort_by_key(|trouble| trouble.at);
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -143,7 +143,12 @@
     for (place, visits) in day.visits.iter().enumerate() {
         let number = stage.limits.classes.iter().position(|class| *class == visits.class).unwrap_or(0);
         let patience = stage.post.terms.span(&format!("classes.{number}.patience_us"));
-        let class = ClassTerms { name: visits.class.clone(), patience, rate: visits.rate };
+        let class = ClassTerms {
+            name: visits.class.clone(),
+            patience,
+            rate: visits.rate,
+            comes_again: visits.comes_again,
+        };
         let seed = day.seed.wrapping_add(place as u64);
         tokio::spawn(call_on(caller.clone(), class, relays.clone(), seed, day.length));
     }
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -26,6 +26,8 @@
     pub patience: Duration,
     /// Visits a second, all callers together.
     pub rate: f64,
+    /// How often a client comes again at once after a failure, within its patience.
+    pub comes_again: u32,
 }
 
 /// Calls in the name of all clients of a day.
@@ -54,18 +56,32 @@
         self.factor.store((factor * 1000.0) as u64, Ordering::Relaxed);
     }
 
-    /// One visit; the status is 0 where the client's patience ended first.
+    /// One visit with the tries that its client makes by itself, each with an id of its own; the
+    /// status is 0 where the client's patience ended first.
     pub async fn visit(&self, to: SocketAddr, class: &ClassTerms) -> u16 {
-        let (id, asked) = (self.ids.fetch_add(1, Ordering::Relaxed), self.tap.now());
+        let asked = self.tap.now();
+        let (mut visit, mut status) = (0, 0);
+        for _ in 0..=class.comes_again {
+            (visit, status) = self.call(to, class, asked).await;
+            if status == 200 || self.tap.now() >= asked + class.patience {
+                break;
+            }
+        }
+        self.tap.put(What::Visit { visit, class: class.name.clone(), asked, status });
+        status
+    }
+
+    async fn call(&self, to: SocketAddr, class: &ClassTerms, asked: Duration) -> (u64, u16) {
+        let id = self.ids.fetch_add(1, Ordering::Relaxed);
+        let left = (asked + class.patience).saturating_sub(self.tap.now());
         let visit = Request::get(format!("http://{to}/{}", class.name))
             .header("x-visit", id)
-            .header("x-patience-ms", class.patience.as_millis() as u64)
+            .header("x-patience-ms", left.as_millis() as u64)
             .body(Empty::new());
-        let Ok(visit) = visit else { return 0 };
-        let answer = tokio::time::timeout(class.patience, self.client.request(visit)).await;
+        let Ok(visit) = visit else { return (id, 0) };
+        let answer = tokio::time::timeout(left, self.client.request(visit)).await;
         let status = answer.ok().and_then(Result::ok).map_or(0, |answer| answer.status().as_u16());
-        self.tap.put(What::Visit { visit: id, class: class.name.clone(), asked, status });
-        status
+        (id, status)
     }
 }
 
