--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -33,6 +33,8 @@
     pub cores: usize,
     pub speed: f64,
     pub queue: usize,
+    /// Work of a visit that is turned away.
+    pub turn_away: Duration,
 }
 
 /// Proxies; what is not stated stays as a proxy has it of itself.
@@ -139,6 +141,7 @@
             cores: number(node, "cores", 1.0) as usize,
             speed: number(node, "speed", 1.0),
             queue: number(node, "queue", 64.0) as usize,
+            turn_away: time(node, "turn-away-work").unwrap_or_default(),
         });
         let visits = all("visits").map(|node| Visits {
             class: text(node, "class"),
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -163,6 +163,7 @@
         cores: like.cores,
         speed: like.speed,
         queue: like.queue,
+        turn_away: like.turn_away.as_secs_f64(),
         work,
         cold_share: limits.cold_share,
         warm_within: limits.warm_within,
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -18,6 +18,9 @@
 
 use crate::tap::{Tap, What};
 
+/// A visit takes at most so many times its own work longer for those that were turned away.
+const MOST_OWED: f64 = 3.0;
+
 /// How an endpoint is built.
 #[derive(Clone, Debug)]
 pub struct EndpointTerms {
@@ -27,6 +30,8 @@
     pub speed: f64,
     /// Visits that may wait for a core; more are turned away unread.
     pub queue: usize,
+    /// Work that a visit costs which is turned away, in seconds.
+    pub turn_away: f64,
     /// Work of a visit by class, in seconds.
     pub work: HashMap<String, f64>,
     pub cold_share: f64,
@@ -57,6 +62,8 @@
     /// What came in of late while cold: time and work.
     came: VecDeque<(Duration, f64)>,
     waiting: usize,
+    /// Work done for visits that were turned away, and not yet taken from the others' time.
+    owed: f64,
     /// Processes are numbered, so that one that died answers nothing any more.
     life: u64,
 }
@@ -79,7 +86,8 @@
     /// As the socket says.
     pub async fn start(terms: EndpointTerms, tap: Tap) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let state = State { mode: Mode::Well, started: None, came: VecDeque::new(), waiting: 0, life: 0 };
+        let state =
+            State { mode: Mode::Well, started: None, came: VecDeque::new(), waiting: 0, owed: 0.0, life: 0 };
         let endpoint = Endpoint {
             address: listener.local_addr()?,
             cores: Arc::new(Semaphore::new(terms.cores)),
@@ -193,23 +201,31 @@
         let slower = match mode {
             Mode::Hang | Mode::Down => return std::future::pending().await,
             Mode::Errors => return Ok(answer(500)),
-            Mode::Refuse => return Ok(unread()),
+            Mode::Refuse => return Ok(self.turn_away()),
             Mode::Slow(times) => times,
             Mode::Well => 1.0,
         };
         if self.state().waiting >= self.terms.queue {
-            return Ok(unread());
+            return Ok(self.turn_away());
         }
         self.state().waiting += 1;
         let core = self.cores.acquire().await;
         self.state().waiting -= 1;
         self.tap.put(What::Ran { endpoint: name(), visit: id, class: path });
+        let work = work + std::mem::take(&mut self.state().owed).min(MOST_OWED * work);
         let speed = self.warmth(&self.state()) * self.terms.speed / slower;
         tokio::time::sleep(Duration::from_secs_f64(work / speed.max(1e-3))).await;
         drop(core);
         Ok(answer(200))
     }
 
+    /// Turning a visit away is work as well, which the visits that are let in pay for.
+    fn turn_away(&self) -> Response<Full<Bytes>> {
+        let mut state = self.state();
+        state.owed += self.terms.turn_away;
+        unread()
+    }
+
     /// Counts work against what a cold process can bear; past it, the process falls and stays down.
     fn take_in(&self, work: f64) -> Mode {
         let mut state = self.state();
