Name an epoch on each stream; shares by weight judged; figures of the proxy

Cause: the checker of choices found a line of a stalled stream carried out after the next stream had taken over, 499 choices outside the table as the pilot knew it.

--- a/crates/fleet/benches/wave.rs
+++ b/crates/fleet/benches/wave.rs
@@ -75,7 +75,7 @@
     for round in 1..=5 {
         let document = Document::new(Path::new("bench.xml"), settings(), SCHEMA).expect("sound");
         let post = Post::read(&document).expect("sound");
-        let mut helm = Helm::new(&post);
+        let mut helm = Helm::new(&post, 0);
         helm.listed(Duration::ZERO, SystemTime::now(), roster(0, None));
         let mut now = Duration::ZERO;
         let mut wave = |name: &str, helm: &mut Helm, until: Duration| {
--- a/crates/fleet/src/berth.rs
+++ b/crates/fleet/src/berth.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Asked {
     Prompt,
+    /// Whether the proxy lets this pilot order, or a later one has taken over.
+    Epoch,
     States,
     Map,
     Order,
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -100,14 +100,16 @@
     report_period: Duration,
     answer_within: Duration,
     redial: [Duration; 2],
+    epoch: u64,
 }
 
 impl Helm {
-    /// Takes up a post: all its proxies are dialled, spread over the first wait.
+    /// Takes up a post: all its proxies are dialled. The epoch fences off pilots that came before, and
+    /// earlier streams of this one: milliseconds of the wall's clock at the start will do.
     ///
     /// # Panics
     /// Never: the histogram's bounds are constants.
-    pub fn new(post: &Post) -> Self {
+    pub fn new(post: &Post, epoch: u64) -> Self {
         let berths: Vec<Berth> = post.proxies.iter().cloned().map(Berth::new).collect();
         let dial = |proxy| Effect::Dial { proxy, stream: 0, after: Duration::ZERO };
         Helm {
@@ -134,6 +136,7 @@
             report_period: post.terms.span("fleet.report_period_us").max(Duration::from_millis(100)),
             answer_within: post.answer_within,
             redial: post.redial,
+            epoch,
         }
     }
 
@@ -178,11 +181,13 @@
         }
         let berth = &mut self.berths[proxy];
         (berth.stage, berth.since) = (Stage::Asking, now);
-        for what in [Asked::Prompt, Asked::States, Asked::Map] {
+        for what in [Asked::Prompt, Asked::Epoch, Asked::States, Asked::Map] {
             berth.ask(what, now);
         }
         self.due.insert((now + self.answer_within, Timer::Patience(proxy, stream)));
-        let text = "prompt i\nshow servers state; show map classes\n".to_string();
+        let epoch = u128::from(self.epoch) + now.as_millis();
+        let text =
+            format!("prompt i\nset var proc.epoch int({epoch})\nshow servers state; show map classes\n");
         self.effects.push_back(Effect::Write { proxy, stream, text });
     }
 
@@ -228,6 +233,8 @@
         let (what, _) = berth.asked.pop_front().ok_or("an answer to nothing")?;
         match what {
             Asked::Prompt => {}
+            Asked::Epoch if answer.starts_with("Superseded") => return Err(answer.trim().into()),
+            Asked::Epoch => {}
             Asked::States => berth.take_states(answer)?,
             Asked::Map => self.join(now, proxy, answer),
             Asked::Order => {
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -81,7 +81,7 @@
             answers: VecDeque::new(),
         };
         let mut stage = Stage {
-            helm: Helm::new(&post),
+            helm: Helm::new(&post, 0),
             now: ms(0),
             peers: (0..proxies).map(peer).collect(),
             roster: Roster { version: 0, entries },
@@ -205,7 +205,7 @@
 
     /// The orders in the trace, those that ask to stay connected left out.
     pub fn orders(&mut self) -> String {
-        let lines = self.trace.lines().filter(|line| !line.contains("prompt"));
+        let lines = self.trace.lines().filter(|line| !line.contains("prompt") && !line.contains("epoch"));
         lines.fold(String::new(), |all, line| all + line + "\n")
     }
 
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -54,9 +54,11 @@
 
 async fn run(post: &Post, logs: logs::Logs) -> Result<(), String> {
     let start = Instant::now();
+    let epoch =
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
     let poke = Rc::new(Notify::new());
     let reread = Rc::new(Notify::new());
-    let station = Rc::new(RefCell::new(Station::new(Helm::new(post), logs, reread.clone())));
+    let station = Rc::new(RefCell::new(Station::new(Helm::new(post, epoch), logs, reread.clone())));
     open_doors(post, &station, &poke).await?;
     let (told, mut news) = mpsc::channel(NEWS_MOST);
     let hands: Vec<Hand> = post
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -1,6 +1,7 @@
 //! Tables, levels and shunning at one proxy.
 
 use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -239,6 +240,24 @@
         }
     }
 
+    /// The same for two proxies that hold the same lines and map: what a pilot can compare cheaply.
+    pub fn digest(&self) -> u64 {
+        let mut text = String::new();
+        for (name, backend) in &self.backends {
+            let mut lines: Vec<&Line> = backend.lines().iter().collect();
+            lines.sort_by(|a, b| a.name.cmp(&b.name));
+            for line in lines {
+                // Writing to a String cannot fail.
+                let _ =
+                    writeln!(text, "{name} {} {} {} {}", line.name, line.address, line.weight, line.maint);
+            }
+        }
+        for (class, backend) in &self.map {
+            let _ = writeln!(text, "{class} {backend}");
+        }
+        xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+    }
+
     /// The version of the table that a class is on.
     pub fn table_version(&self, backend: &str) -> u64 {
         self.backends.get(backend).map_or(0, |backend| backend.version)
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -333,6 +333,7 @@
 fn a_set_of_which_one_order_is_refused_changes_nothing() {
     run(async {
         let stage = stage(&[endpoint(Does::Says(OK)).await.0], |_| {}).await;
+        let digest = stage.tell("get var proc.digest").await;
         let said = stage.tell("set weight standing/e0 0; set weight standing/e9 1; show backend").await;
         assert_eq!(
             said.matches("Not done, as an order of its set was refused: No such server.").count(),
@@ -341,6 +342,9 @@
         );
         assert_eq!(stage.tell("get weight standing/e0").await, "256 (initial 256)\n\n");
         assert_eq!(stage.visit().await, 200);
+        assert_eq!(stage.tell("get var proc.digest").await, digest);
+        stage.tell("set weight standing/e0 255").await;
+        assert_ne!(stage.tell("get var proc.digest").await, digest);
     });
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 mod rules;
 mod score;
 mod seen;
+mod shares;
 mod stage;
 mod wire;
 
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::seen::Seen;
+use crate::shares::shares;
 
 /// The limits as the terms state them.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub queue_most: f64,
     pub messages_most: f64,
     pub messages_span: Duration,
+    /// Proxies choose evenly by weight, and nothing but orders and failures keeps them from it.
+    pub even: bool,
 }
 
 impl Limits {
@@ -46,6 +49,7 @@
             queue_most: terms.limit("fleet.queue_most_lines"),
             messages_most: terms.limit("fleet.messages_most"),
             messages_span: terms.span("fleet.messages_span_us"),
+            even: true,
         }
     }
 }
@@ -63,11 +67,11 @@
 }
 
 impl Verdict {
-    fn new(rule: &'static str, of: &'static str, limit: f64) -> Self {
+    pub(crate) fn new(rule: &'static str, of: &'static str, limit: f64) -> Self {
         Verdict { rule, of, figure: 0.0, limit, at: String::new() }
     }
 
-    fn met(&mut self, figure: f64, at: impl FnOnce() -> String) {
+    pub(crate) fn met(&mut self, figure: f64, at: impl FnOnce() -> String) {
         if figure > self.figure {
             (self.figure, self.at) = (figure, at());
         }
@@ -103,7 +107,19 @@
     }
     let choices = judge.choices(records);
     let second = second_tries(records);
-    vec![judge.bare, judge.twice, judge.drains, judge.pushed, judge.queue, judge.messages, choices, second]
+    let mut shares = shares(records, |relay| judge.relays.get(relay).map(|(seen, _)| seen));
+    shares.limit = if limits.even { shares.limit } else { f64::INFINITY };
+    vec![
+        judge.bare,
+        judge.twice,
+        judge.drains,
+        judge.pushed,
+        judge.queue,
+        judge.messages,
+        choices,
+        second,
+        shares,
+    ]
 }
 
 /// No visit is sent anywhere once it has begun to run somewhere: callers of a day do not repeat
--- a/crates/rehearsal/src/seen.rs
+++ b/crates/rehearsal/src/seen.rs
@@ -95,6 +95,17 @@
         self.past.iter().filter(of).any(|(_, _, lines)| lines.iter().any(is))
     }
 
+    /// The lines of a table in this state with their weights, if it was in one such state only.
+    pub fn weights(&self, table: &str) -> Option<BTreeMap<String, u32>> {
+        let (backend, version) = table.split_once('@')?;
+        let of = |(name, at, _): &&(String, u64, Vec<String>)| name == backend && version.parse() == Ok(*at);
+        let mut states = self.past.iter().filter(of);
+        let (_, _, lines) = states.next().filter(|_| states.next().is_none())?;
+        let line =
+            |line: &String| line.split_once('=').and_then(|(name, w)| Some((name.into(), w.parse().ok()?)));
+        lines.iter().map(line).collect()
+    }
+
     fn carry_out(&mut self, command: &str) {
         let words: Vec<&str> = command.split(' ').collect();
         match words[..] {
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use lockcroft_proxy::{Limits as Shuns, ProxyPost};
+use lockcroft_proxy::{Limits as Shuns, ProxyPost, Way};
 use lockcroft_runtime::Address;
 use lockcroft_standin::{Endpoint, EndpointTerms, Tap, What};
 use lockcroft_terms::Post;
@@ -60,7 +60,10 @@
         let io = |e: std::io::Error| e.to_string();
         fs::write(&path, settings(day, &socket, "", "<roster/>")).map_err(io)?;
         let post = Post::open(&path).map_err(|faults| faults.to_string())?;
-        let (limits, tap) = (Limits::read(&post.terms), Tap::default());
+        let wheel = day.relays.way.unwrap_or_default() == Way::Wheel;
+        let even = wheel && day.relays.outstanding_most.is_none();
+        let limits = Limits { even, ..Limits::read(&post.terms) };
+        let tap = Tap::default();
         let mut endpoints = BTreeMap::new();
         let mut lines = BTreeMap::new();
         for zone in &post.places.zones {
--- a/crates/rehearsal/tests/rules.rs
+++ b/crates/rehearsal/tests/rules.rs
@@ -20,6 +20,7 @@
         queue_most: 10.0,
         messages_most: 3.0,
         messages_span: Duration::from_secs(10),
+        even: true,
     }
 }
 
@@ -219,3 +220,19 @@
     let proof = [at(2.0, arrived("e1", 7, 0.0)), at(3.0, arrived("e2", 7, 0.0)), at(3.0, ran("e2", 7))];
     assert_eq!(broken(&proof), Vec::<&str>::new());
 }
+
+#[test]
+fn a_line_that_gets_more_than_its_share_is_found() {
+    let day = |of_ten: u64| -> Vec<Record> {
+        let visits = (0..200).flat_map(|visit| {
+            let to = if visit % 10 < of_ten { "e1" } else { "e2" };
+            [at(2.0, arrived(to, visit, 0.0)), at(2.0, ran(to, visit))]
+        });
+        visits.collect()
+    };
+    assert_eq!(broken(&day(5)), Vec::<&str>::new());
+    assert_eq!(broken(&day(6)), ["shares by weight"]);
+    // After a failure a proxy may shun for a time.
+    let failed = [vec![at(1.9, arrived("e2", 999, 0.0))], day(8)].concat();
+    assert_eq!(broken(&failed), Vec::<&str>::new());
+}
