Lay a proxy's chooser once for a set of orders; let idle connections be stated

Change: idle-most is a term, 1 s in rehearsals; lines that come or go lay the chooser once, before the next choice.

--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -77,6 +77,9 @@
     /// Where each line stands.
     places: BTreeMap<Rc<str>, usize>,
     chooser: Chooser,
+    /// Lines came or went since the chooser was laid: it is laid anew before the next choice, once for
+    /// a whole set of orders.
+    stale: bool,
     way: Way,
     /// Of the set of orders that changed it last.
     pub version: u64,
@@ -86,7 +89,7 @@
     pub fn new(way: Way, lines: Vec<Line>) -> Self {
         let weights: Vec<u32> = lines.iter().map(Line::share).collect();
         let places = lines.iter().enumerate().map(|(place, line)| (line.name.clone(), place)).collect();
-        Backend { chooser: Chooser::new(way, &weights), lines, places, way, version: 0 }
+        Backend { chooser: Chooser::new(way, &weights), stale: false, lines, places, way, version: 0 }
     }
 
     pub fn lines(&self) -> &[Line] {
@@ -101,25 +104,31 @@
     pub fn change(&mut self, name: &str, change: impl FnOnce(&mut Line)) -> bool {
         let Some(place) = self.places.get(name).copied() else { return false };
         change(&mut self.lines[place]);
-        self.chooser.set(place, self.lines[place].share());
+        if !self.stale {
+            self.chooser.set(place, self.lines[place].share());
+        }
         true
     }
 
     pub fn add(&mut self, line: Line) {
+        self.places.insert(line.name.clone(), self.lines.len());
         self.lines.push(line);
-        self.lay_anew();
+        self.stale = true;
     }
 
     pub fn remove(&mut self, name: &str) {
         self.lines.retain(|line| *line.name != *name);
-        self.lay_anew();
-    }
-
-    fn lay_anew(&mut self) {
-        let weights: Vec<u32> = self.lines.iter().map(Line::share).collect();
-        self.chooser = Chooser::new(self.way, &weights);
         let places = self.lines.iter().enumerate();
         self.places = places.map(|(place, line)| (line.name.clone(), place)).collect();
+        self.stale = true;
+    }
+
+    /// Lays the chooser anew if lines came or went.
+    fn lay(&mut self) {
+        if std::mem::take(&mut self.stale) {
+            let weights: Vec<u32> = self.lines.iter().map(Line::share).collect();
+            self.chooser = Chooser::new(self.way, &weights);
+        }
     }
 
     /// Whether it gives the same choices as another.
@@ -290,7 +299,9 @@
         let most = if self.limits.outstanding_most > 0 { self.limits.outstanding_most } else { usize::MAX };
         let found = self.map.get(class).and_then(|name| Some((name, self.backends.get_mut(name)?)));
         let Some((name, backend)) = found else { return Choice::Bare };
-        let Backend { lines, chooser, .. } = Rc::make_mut(backend);
+        let backend = Rc::make_mut(backend);
+        backend.lay();
+        let Backend { lines, chooser, .. } = backend;
         let free = |line: &Line| line.open() && line.shunned_until <= now && Some(&*line.name) != not;
         let open = |place: usize| free(&lines[place]) && lines[place].outstanding < most;
         match chooser.next(&mut self.chance, open, |place| lines[place].outstanding) {
--- a/crates/proxy/src/io/pool.rs
+++ b/crates/proxy/src/io/pool.rs
@@ -18,8 +18,6 @@
 
 pub type Sender = SendRequest<Body>;
 
-/// A connection that was not used for so long is closed.
-const IDLE: Duration = Duration::from_secs(15);
 /// So many are kept for an endpoint.
 const KEPT: usize = 512;
 
@@ -32,17 +30,22 @@
     Broken,
 }
 
-#[derive(Default)]
 pub struct Pool {
     idle: HashMap<SocketAddr, Vec<(Sender, Instant)>>,
+    /// A connection that was not used for so long is closed.
+    most: Duration,
 }
 
 impl Pool {
+    pub fn new(most: Duration) -> Self {
+        Pool { idle: HashMap::new(), most }
+    }
+
     /// The connection that was used last, if one is still open.
     pub fn take(&mut self, to: SocketAddr) -> Option<Sender> {
         let idle = self.idle.get_mut(&to)?;
         while let Some((sender, since)) = idle.pop() {
-            if !sender.is_closed() && since.elapsed() < IDLE {
+            if !sender.is_closed() && since.elapsed() < self.most {
                 return Some(sender);
             }
         }
@@ -59,7 +62,7 @@
     /// Connections that are not used any more go, also to endpoints that no table holds.
     pub fn tidy(&mut self) {
         self.idle.retain(|_, idle| {
-            idle.retain(|(sender, since)| !sender.is_closed() && since.elapsed() < IDLE);
+            idle.retain(|(sender, since)| !sender.is_closed() && since.elapsed() < self.most);
             !idle.is_empty()
         });
     }
--- a/crates/proxy/src/io/running.rs
+++ b/crates/proxy/src/io/running.rs
@@ -23,9 +23,6 @@
 use crate::held::Held;
 use crate::post::ProxyPost;
 
-/// How often connections that nobody uses are looked for.
-const TIDY: Duration = Duration::from_secs(5);
-
 /// What all of a proxy's visits and orders share; on one thread, so that nobody waits for a lock.
 pub struct Core {
     pub post: ProxyPost,
@@ -111,7 +108,7 @@
             budget: RefCell::new(Budget::new(post.second_share)),
             start: Instant::now(),
             held: RefCell::new(held),
-            pool: RefCell::default(),
+            pool: RefCell::new(Pool::new(post.idle_most)),
             times: RefCell::default(),
             room: Notify::new(),
             waiting: RefCell::new(0),
@@ -128,7 +125,8 @@
         let tidied = core.clone();
         tasks.push(spawn_local(async move {
             loop {
-                tokio::time::sleep(TIDY).await;
+                // Looked for twice in the time that one may be idle.
+                tokio::time::sleep((tidied.post.idle_most / 2).max(Duration::from_millis(50))).await;
                 tidied.pool.borrow_mut().tidy();
             }
         }));
--- a/crates/proxy/src/post.rs
+++ b/crates/proxy/src/post.rs
@@ -31,6 +31,8 @@
     /// Bodies up to so many bytes are kept, for a second try and so that half an answer is not passed on.
     pub keep_most: usize,
     pub connect_within: Duration,
+    /// A connection to an endpoint that was not used for so long is closed.
+    pub idle_most: Duration,
     /// A try is given up after so long.
     pub try_most: Duration,
     /// Second tries for each first one, at most.
@@ -71,6 +73,7 @@
             silent_most: Duration::from_secs(10),
             keep_most: 65_536,
             connect_within: Duration::from_millis(500),
+            idle_most: Duration::from_secs(15),
             try_most: Duration::from_secs(60),
             second_share: 0.1,
             waiting_most: 100,
@@ -129,6 +132,7 @@
         };
         set(&mut self.silent_most, "visits", "silent-most");
         set(&mut self.connect_within, "tries", "connect-within");
+        set(&mut self.idle_most, "tries", "idle-most");
         set(&mut self.try_most, "tries", "try-most");
         set(&mut self.waiting_for, "limits", "waiting-for");
         set(&mut self.retry_after, "limits", "retry-after");
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use lockcroft_proxy::{Limits as Shuns, ProxyPost, Way};
 use lockcroft_runtime::Address;
@@ -99,6 +100,8 @@
                 let any = SocketAddr::from(([127, 0, 0, 1], 0));
                 let mut proxy = ProxyPost::new(&name, any, vec![control.clone()], classes.clone());
                 proxy.standing = near.map(|(name, line)| (name.clone(), line.address)).collect();
+                // A large day has more proxies and endpoints than descriptors for all pairs of them.
+                proxy.idle_most = Duration::from_secs(1);
                 day.relays.apply(&mut proxy);
                 let shuns_after = post.terms.number("fleet.shuns_after").unwrap_or(0.0) as u32;
                 proxy.limits = Shuns { shuns_after, ..proxy.limits };
