--- a/crates/proxy/src/orders.rs
+++ b/crates/proxy/src/orders.rs
@@ -77,10 +77,15 @@
 
     /// What concerns the connection and its sets rather than a table.
     fn own(&mut self, command: &Command, held: &mut Held) -> Option<Result<String, String>> {
-        let words: Vec<&str> = command.words.iter().map(String::as_str).collect();
         if !self.session.may(Level::Admin) {
             return None;
         }
+        // Most orders are about servers, of any number in a set.
+        let about_server = command.word(1) == Some("server");
+        if about_server && self.epoch.is_none_or(|epoch| epoch >= held.epoch) {
+            return None;
+        }
+        let words: Vec<&str> = command.words.iter().map(String::as_str).collect();
         if let ["set", "var", "proc.epoch", value] = words[..] {
             return Some(self.take_over(value, held));
         }
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -82,9 +82,9 @@
 /// # Errors
 /// The day can't be staged, or a trouble names who is not there.
 pub async fn play(day: &Day, program: &Path, folder: &Path, tell: impl Fn(&str)) -> Result<Report, String> {
-    // One core is the pilot's, one for endpoints and callers at the least.
+    // One core is the pilot's.
     let cores = std::thread::available_parallelism().map_or(2, std::num::NonZero::get);
-    let mut stage = Stage::build(day, folder, cores.saturating_sub(2)).await?;
+    let mut stage = Stage::build(day, folder, cores.saturating_sub(1)).await?;
     let mut steps = Vec::new();
     for trouble in &day.troubles {
         check(&stage, trouble)?;
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -131,8 +131,9 @@
     /// Its sockets can't be had again.
     pub async fn restart(&self, relay: &Relay) -> Result<(), String> {
         self.hosts.stop(relay.number);
-        standing(&relay.post, &self.tap);
         let started = self.hosts.start(relay.number, relay.post.clone()).await;
+        // Not before: what the old one was told until it ended is its own.
+        standing(&relay.post, &self.tap);
         started.map(|_| ()).map_err(|e| format!("{}: {e}", relay.name))
     }
 
