--- a/crates/rehearsal/src/seen.rs
+++ b/crates/rehearsal/src/seen.rs
@@ -17,6 +17,8 @@
     /// Every state that a backend was in, with the version of the set that brought it about; a proxy
     /// that starts anew counts anew.
     past: Vec<(String, u64, Vec<String>)>,
+    /// Where in it the proxy's present life begins.
+    life: usize,
     version: u64,
     map: BTreeMap<String, String>,
     open: usize,
@@ -30,7 +32,7 @@
     pub fn standing(&mut self, servers: &[String], classes: &[String]) {
         let line = |name: &String| (name.clone(), Line { weight: 256, barred: false });
         self.backends = BTreeMap::from([("standing".into(), servers.iter().map(line).collect())]);
-        self.version = 0;
+        (self.version, self.life) = (0, self.past.len());
         self.remember();
         self.map = classes.iter().map(|class| (class.clone(), "standing".into())).collect();
     }
@@ -64,7 +66,7 @@
         for (name, lines) in &self.backends {
             let open = lines.iter().filter(|(_, line)| line.weight > 0 && !line.barred);
             let open: Vec<String> = open.map(|(server, line)| format!("{server}={}", line.weight)).collect();
-            let last = self.past.iter().rev().find(|(past, ..)| past == name);
+            let last = self.past[self.life..].iter().rev().find(|(past, ..)| past == name);
             if self.version == 0 || last.is_none_or(|(_, _, lines)| *lines != open) {
                 self.past.push((name.clone(), self.version, open));
             }
--- a/crates/rehearsal/tests/rules.rs
+++ b/crates/rehearsal/tests/rules.rs
@@ -224,3 +224,29 @@
     let failed = [vec![at(1.9, arrived("e2", 999, 0.0))], day(8)].concat();
     assert_eq!(broken(&failed), Vec::<&str>::new());
 }
+
+/// A proxy that starts anew counts anew, also where it is bound to the very lines of before.
+#[test]
+fn a_restart_begins_the_versions_anew() {
+    let set = |orders: &[&str]| What::Set {
+        relay: "r".into(),
+        orders: orders.iter().map(|order| ((*order).into(), String::new())).collect(),
+    };
+    let by = |table: &str| What::Arrived {
+        endpoint: "e1".into(),
+        relay: "r".into(),
+        visit: 1,
+        class: "look".into(),
+        work: 0.0,
+        table: table.into(),
+    };
+    let bind = set(&[
+        "add server t0/e1 127.0.0.1:1 weight 9",
+        "set server t0/e1 state ready",
+        "set map classes look t0",
+    ]);
+    let epoch = set(&["set var proc.epoch int(4)"]);
+    let again = What::Standing { relay: "r".into(), servers: vec!["e1".into(), "e2".into()] };
+    let day = [at(2.0, bind.clone()), at(3.0, again), at(3.5, epoch), at(4.0, bind), at(4.1, by("t0@2"))];
+    assert_eq!(broken(&day), Vec::<&str>::new());
+}
