--- a/crates/terms/src/document.rs
+++ b/crates/terms/src/document.rs
@@ -52,6 +52,8 @@
     file: PathBuf,
     text: String,
     schema: &'static str,
+    /// The same, read once for all that is asked of it.
+    declared: Schema<'static>,
 }
 
 impl Document {
@@ -68,7 +70,7 @@
     /// # Errors
     /// The text is no XML or breaks the schema.
     pub fn new(file: &Path, text: String, schema: &'static str) -> Result<Self, Faults> {
-        let document = Document { file: file.into(), text, schema };
+        let document = Document { file: file.into(), text, schema, declared: Schema::new(schema) };
         document.check().map(|()| document)
     }
 
@@ -92,7 +94,7 @@
     pub fn attribute_type(&self, node: Node, attribute: &str) -> Option<String> {
         let names = names(node);
         let path: Vec<&str> = names.iter().map(String::as_str).collect();
-        Schema::new(self.schema).attribute_type(&path, attribute).map(String::from)
+        self.declared.attribute_type(&path, attribute).map(String::from)
     }
 
     /// A fault that no schema can see, at this element.
@@ -126,8 +128,7 @@
         let mut run = validator.start_run(sink);
         let driven = drive_quick_xml(self.text.as_bytes(), &mut run, &set);
         drop(run);
-        let schema = Schema::new(self.schema);
-        let mut faults: Vec<Fault> = errors.iter().map(|error| self.explain(&tree, &schema, error)).collect();
+        let mut faults: Vec<Fault> = errors.iter().map(|error| self.explain(&tree, error)).collect();
         if let Err(error) = driven {
             faults.push(self.fault(tree.root_element(), error.to_string(), None));
         }
@@ -137,7 +138,8 @@
         if faults.is_empty() { Ok(()) } else { Err(Faults(faults)) }
     }
 
-    fn explain(&self, tree: &roxmltree::Document, schema: &Schema, error: &ValidationError) -> Fault {
+    fn explain(&self, tree: &roxmltree::Document, error: &ValidationError) -> Fault {
+        let schema = &self.declared;
         let path = error.instance_path().map(ToString::to_string).unwrap_or_default();
         let (node, attribute) = locate(tree, &path);
         let names = names(node);
