Lay sets on a copy between visits; ask the digest after a redial; prepare long messages

A set of 300 orders held the proxy's one thread for 1 to 2 ms, a redial cost all lines of every proxy, and messages over 8 KB took effect line by line. Sets are now laid on a copy, four orders between visits, and adopted in one step that keeps counters and turns. The pilot keeps what a proxy held and compares digests after a redial: no line, not even levels, if they agree. Long messages go by prepare and commit.

A slow client of one byte a second for 6 s delays nobody.

--- a/crates/fleet/src/berth.rs
+++ b/crates/fleet/src/berth.rs
@@ -29,6 +29,8 @@
     Prompt,
     /// Whether the proxy lets this pilot order, or a later one has taken over.
     Epoch,
+    /// Whether it holds what it held when its last stream ended.
+    Digest,
     States,
     Map,
     Order,
@@ -42,6 +44,8 @@
     pub stream: u64,
     pub since: Duration,
     pub book: Book,
+    /// What it held when its last stream ended.
+    pub kept: Option<Book>,
     pub counters: Counters,
     /// Questions on their way, each with the time when it was sent.
     pub asked: VecDeque<(Asked, Duration)>,
@@ -60,6 +64,7 @@
             stream: 0,
             since: Duration::ZERO,
             book: Book::default(),
+            kept: None,
             counters: Counters::default(),
             asked: VecDeque::new(),
             states: Vec::new(),
@@ -80,6 +85,9 @@
 
     /// The stream is gone, and with it all that was on its way.
     pub fn leave(&mut self, now: Duration, why: &str) {
+        if self.stage == Stage::Joined {
+            self.kept = Some(self.book.kept());
+        }
         self.stage = Stage::Away;
         self.since = now;
         self.stream += 1;
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -9,14 +9,17 @@
 use std::time::Duration;
 
 use lockcroft::{Class, Server, TableNumber};
-use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StateRow};
+use lockcroft_runtime::sheets::{Digest, FORCED_DRAIN, FORCED_MAINT, StateRow};
 
 use crate::list::List;
 use crate::published::{Published, Scale};
 
 /// Commands of one message are written as lines of up to so many bytes: half of what a proxy takes.
+/// A message of several lines is prepared and committed, so that it takes effect as a whole.
 const LINE: usize = lockcroft_runtime::LINE_MOST / 2;
 
+const PREPARE: &str = "prepare map tables";
+
 /// What an order concerns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Key {
@@ -63,12 +66,40 @@
     Again(Class, bool),
 }
 
+impl Change {
+    /// Whether the answer says that it was done.
+    fn done(&self, answer: &str) -> bool {
+        match self {
+            Change::Add(..) => answer.starts_with("New server registered"),
+            Change::Moved(..) => answer.contains("changed"),
+            // Visits may still be under way there; barred as it is, the line does no harm.
+            Change::Delete(..) => true,
+            _ => answer.is_empty(),
+        }
+    }
+}
+
+/// A command of a message.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Begins a set of several lines.
+    Prepare,
+    Change(Change),
+    Commit,
+}
+
 /// A message on its way: its text, and the commands that are still to be answered, each with its
 /// place in the text.
 #[derive(Debug, Default)]
 struct Flight {
     text: String,
-    steps: VecDeque<(Range<usize>, Change)>,
+    steps: VecDeque<(Range<usize>, Step)>,
+    /// The version under which the proxy prepares it, and what is held once that is committed. A
+    /// proxy that knows no such sets does what it is told line by line.
+    version: Option<String>,
+    prepared: Vec<(Change, String)>,
+    /// All was prepared; the commit is still to be sent.
+    commit_due: bool,
     lines: usize,
     since: Duration,
     wave: u64,
@@ -155,8 +186,8 @@
     held: BTreeMap<(Pool, Server), Held>,
     /// Backends met at the proxy that are no tables, by their place.
     others: Vec<String>,
-    /// Entries of the proxy's map, with the table where it is one.
-    maps: BTreeMap<Class, Option<TableNumber>>,
+    /// Entries of the proxy's map.
+    maps: BTreeMap<Class, Pool>,
     levels: BTreeMap<Class, (Option<u32>, Option<bool>)>,
     /// Tables that the decisions put it on, in this stream.
     bound: BTreeMap<Class, TableNumber>,
@@ -181,12 +212,56 @@
             if let (Some(class), Some(backend)) = (words.next(), words.next())
                 && let Some(class) = classes.iter().position(|name| name == class)
             {
-                book.maps.insert(class, table_of(backend));
+                let pool = book.pool(backend);
+                book.maps.insert(class, pool);
             }
         }
         book
     }
 
+    /// What was held when a stream ended, for the next one; orders and bindings are of one stream.
+    pub fn kept(&mut self) -> Book {
+        Book {
+            held: std::mem::take(&mut self.held),
+            others: std::mem::take(&mut self.others),
+            maps: std::mem::take(&mut self.maps),
+            levels: std::mem::take(&mut self.levels),
+            ..Book::default()
+        }
+    }
+
+    /// The digest that the proxy tells if it holds just this.
+    pub fn digest(&self, list: &List, classes: &[String]) -> i64 {
+        let mut lines: Vec<(String, &str, SocketAddr, &Held)> = Vec::with_capacity(self.held.len());
+        for ((pool, server), held) in &self.held {
+            let address = held.address.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)));
+            lines.push((self.backend(*pool), list.name(*server), address, held));
+        }
+        lines.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
+        let mut digest = Digest::default();
+        for (backend, server, address, held) in lines {
+            digest.line(&backend, server, address, held.weight, held.barred);
+        }
+        let maps: BTreeMap<&str, Pool> =
+            self.maps.iter().map(|(class, pool)| (classes[*class].as_str(), *pool)).collect();
+        maps.iter().for_each(|(class, pool)| digest.bound(class, &self.backend(*pool)));
+        let mut variables = BTreeMap::new();
+        for (class, (level, again)) in &self.levels {
+            let name = classes[*class].replace('-', "_");
+            variables.extend(level.map(|level| (format!("proc.level_{name}"), i64::from(level))));
+            variables.extend(again.map(|again| (format!("proc.again_{name}"), i64::from(again))));
+        }
+        variables.iter().for_each(|(name, value)| digest.variable(name, *value));
+        digest.value()
+    }
+
+    fn backend(&self, pool: Pool) -> String {
+        match pool {
+            Pool::Table(table) => format!("t{table}"),
+            Pool::Other(place) => self.others[place].clone(),
+        }
+    }
+
     fn pool(&mut self, backend: &str) -> Pool {
         if let Some(table) = table_of(backend) {
             return Pool::Table(table);
@@ -200,7 +275,7 @@
 
     /// Whether it holds nothing that a pilot laid.
     pub fn fresh(&self) -> bool {
-        self.maps.values().all(Option::is_none)
+        !self.maps.values().any(|pool| matches!(pool, Pool::Table(_)))
     }
 
     /// Lines that wait or are on their way.
@@ -267,6 +342,10 @@
     /// The next message, unless one is on its way. Within it what adds comes before what takes, so
     /// that a proxy that stops half way has too much rather than nothing.
     pub fn message(&mut self, desk: &Desk) -> Option<Message> {
+        if let Some(flight) = self.flight.as_mut().filter(|flight| flight.commit_due) {
+            flight.commit_due = false;
+            return Some(Message { text: flight.text.clone(), commands: 1, lines: 0, wave: flight.wave });
+        }
         if self.flight.is_some() || self.waits.is_empty() {
             return None;
         }
@@ -287,7 +366,7 @@
         changes.sort_by_key(|(group, place, _)| (*group, *place));
         let (text, steps) = lay(changes.into_iter().map(|(_, _, change)| change), desk, &self.others);
         let message = Message { text: text.clone(), commands: steps.len(), lines, wave };
-        self.flight = Some(Flight { text, steps, lines, since, wave });
+        self.flight = Some(Flight { text, steps, lines, since, wave, ..Flight::default() });
         Some(message)
     }
 
@@ -298,7 +377,8 @@
             Key::Level(class) => self.level_changes(class, desk, put),
             Key::Bind(class) => {
                 let held = self.maps.get(&class).copied();
-                if let Some(table) = self.bound.get(&class).filter(|table| held.flatten() != Some(**table)) {
+                let bound = self.bound.get(&class);
+                if let Some(table) = bound.filter(|table| held != Some(Pool::Table(**table))) {
                     put(2, Change::Map(class, *table, held.is_some()));
                 }
             }
@@ -367,27 +447,48 @@
     /// The proxy did not do it: what it holds has to be asked anew.
     pub fn answered(&mut self, answer: &str) -> Result<Option<Landed>, String> {
         let flight = self.flight.as_mut().ok_or("an answer to nothing")?;
-        let (place, change) = flight.steps.pop_front().ok_or("an answer too many")?;
+        let (place, step) = flight.steps.pop_front().ok_or("an answer too many")?;
         let answer = answer.trim();
-        let done = match change {
-            Change::Add(..) => answer.starts_with("New server registered"),
-            Change::Moved(..) => answer.contains("changed"),
-            // Visits may still be under way there; barred as it is, the line does no harm.
-            Change::Delete(..) => true,
-            _ => answer.is_empty(),
+        let mut now = Vec::new();
+        let done = match step {
+            Step::Prepare => {
+                let version = answer.strip_prefix("New version created: ");
+                flight.version = version.map(str::to_string);
+                true
+            }
+            Step::Change(change) => {
+                let to = if flight.version.is_some() { &mut flight.prepared } else { &mut now };
+                to.push((change, answer.to_string()));
+                change.done(answer)
+            }
+            Step::Commit => {
+                flight.version = None;
+                now = std::mem::take(&mut flight.prepared);
+                answer.is_empty()
+            }
         };
         if !done {
             return Err(format!("{:?} was answered with {answer:?}", &flight.text[place]));
         }
         let landed = Landed { since: flight.since, wave: flight.wave, lines: flight.lines };
-        let last = flight.steps.is_empty();
+        let last = flight.steps.is_empty() && flight.version.is_none();
+        if let Some(version) = flight.version.as_ref().filter(|_| flight.steps.is_empty()) {
+            flight.text = format!("commit map @{version} tables\n");
+            flight.steps.push_back((0..flight.text.len() - 1, Step::Commit));
+            flight.commit_due = true;
+        }
         if last {
             self.flight = None;
         }
-        self.held_now(change, answer);
+        now.into_iter().for_each(|(change, answer)| self.held_now(change, &answer));
         Ok(last.then_some(landed))
     }
 
+    /// Whether the proxy waits for the commit of what it prepared.
+    pub fn commit_due(&self) -> bool {
+        self.flight.as_ref().is_some_and(|flight| flight.commit_due)
+    }
+
     fn held_now(&mut self, change: Change, answer: &str) {
         let mut at = |pool, server, change: &mut dyn FnMut(&mut Held)| {
             self.held.get_mut(&(pool, server)).into_iter().for_each(change);
@@ -401,7 +502,7 @@
                 self.held.remove(&(pool, server));
             }
             Change::Delete(..) => {}
-            Change::Map(class, table, _) => drop(self.maps.insert(class, Some(table))),
+            Change::Map(class, table, _) => drop(self.maps.insert(class, Pool::Table(table))),
             Change::Level(class, level) => self.levels.entry(class).or_default().0 = Some(level),
             Change::Again(class, again) => self.levels.entry(class).or_default().1 = Some(again),
         }
@@ -418,7 +519,7 @@
     changes: impl Iterator<Item = Change>,
     desk: &Desk,
     others: &[String],
-) -> (String, VecDeque<(Range<usize>, Change)>) {
+) -> (String, VecDeque<(Range<usize>, Step)>) {
     let (mut text, mut steps, mut begun) = (String::new(), VecDeque::new(), 0);
     for change in changes {
         if text.len() - begun > LINE {
@@ -431,8 +532,14 @@
         let from = text.len();
         // Writing to a String cannot fail.
         let _ = desk.write(&change, others, &mut text);
-        steps.push_back((from..text.len(), change));
+        steps.push_back((from..text.len(), Step::Change(change)));
     }
     text.push('\n');
+    if begun > 0 {
+        let first = PREPARE.len() + 1;
+        text.insert_str(0, &format!("{PREPARE}\n"));
+        steps.iter_mut().for_each(|(place, _)| *place = place.start + first..place.end + first);
+        steps.push_front((0..PREPARE.len(), Step::Prepare));
+    }
     (text, steps)
 }
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -23,6 +23,9 @@
 /// So many messages are written before the host takes them to its sockets.
 const MESSAGES_AT_ONCE: usize = 32;
 
+const ASK_DIGEST: &str = "get var proc.digest\n";
+const ASK_ALL: &str = "show servers state; show map classes\n";
+
 /// What the host is to carry out on its sockets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -181,13 +184,17 @@
         }
         let berth = &mut self.berths[proxy];
         (berth.stage, berth.since) = (Stage::Asking, now);
-        for what in [Asked::Prompt, Asked::Epoch, Asked::States, Asked::Map] {
-            berth.ask(what, now);
+        // One that was known is asked first whether anything changed while it was away.
+        let (asks, text): (&[Asked], &str) = match berth.kept {
+            Some(_) => (&[Asked::Digest], ASK_DIGEST),
+            None => (&[Asked::States, Asked::Map], ASK_ALL),
+        };
+        for what in [Asked::Prompt, Asked::Epoch].iter().chain(asks) {
+            berth.ask(*what, now);
         }
         self.due.insert((now + self.answer_within, Timer::Patience(proxy, stream)));
         let epoch = u128::from(self.epoch) + now.as_millis();
-        let text =
-            format!("prompt i\nset var proc.epoch int({epoch})\nshow servers state; show map classes\n");
+        let text = format!("prompt i\nset var proc.epoch int({epoch})\n{text}");
         self.effects.push_back(Effect::Write { proxy, stream, text });
     }
 
@@ -235,10 +242,30 @@
             Asked::Prompt => {}
             Asked::Epoch if answer.starts_with("Superseded") => return Err(answer.trim().into()),
             Asked::Epoch => {}
+            Asked::Digest => {
+                let told = answer.split(['<', '>']).nth(1).and_then(|value| value.parse().ok());
+                let kept = berth.kept.take();
+                let same = kept.filter(|kept| told == Some(kept.digest(&self.list, &self.places.classes)));
+                match same {
+                    Some(kept) => self.join(now, proxy, kept),
+                    None => {
+                        berth.ask(Asked::States, now);
+                        self.ask(now, proxy, Asked::Map, ASK_ALL.into(), 1);
+                    }
+                }
+            }
             Asked::States => berth.take_states(answer)?,
-            Asked::Map => self.join(now, proxy, answer),
+            Asked::Map => {
+                let states = std::mem::take(&mut berth.states);
+                let book = Book::read(&states, answer, &mut self.list, &self.places.classes);
+                self.join(now, proxy, book);
+            }
             Asked::Order => {
-                if let Some(landed) = berth.book.answered(answer)? {
+                let landed = berth.book.answered(answer)?;
+                if berth.book.commit_due() {
+                    self.touched.insert(proxy);
+                }
+                if let Some(landed) = landed {
                     let took = now.saturating_sub(landed.since);
                     debug!(target: "lockcroft::answer", wave = landed.wave, proxy = berth.at.name,
                         lines = landed.lines, us = took.as_micros() as u64, "answered");
@@ -257,10 +284,9 @@
         Ok(())
     }
 
-    fn join(&mut self, now: Duration, proxy: Proxy, map: &str) {
+    fn join(&mut self, now: Duration, proxy: Proxy, book: Book) {
         let berth = &mut self.berths[proxy];
-        let states = std::mem::take(&mut berth.states);
-        berth.book = Book::read(&states, map, &mut self.list, &self.places.classes);
+        (berth.book, berth.kept) = (book, None);
         berth.counters = Counters::default();
         (berth.stage, berth.since) = (Stage::Joined, now);
         let (fresh, stream) = (berth.book.fresh(), berth.stream);
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -7,8 +7,8 @@
 
 use lockcroft::{Finding, Listed, Server};
 use lockcroft_fleet::{Effect, Helm};
-use lockcroft_proxy::{Held, Limits, STANDING, Way};
-use lockcroft_runtime::{Answers, Feed, Level, Session};
+use lockcroft_proxy::{Held, Limits, Orders, STANDING, Way};
+use lockcroft_runtime::{Answers, Feed, Level};
 use lockcroft_terms::{Document, Entry, Post, Roster, SCHEMA};
 
 pub fn ms(millis: u64) -> Duration {
@@ -30,7 +30,7 @@
 pub struct Peer {
     pub held: Held,
     feed: Feed,
-    session: Session,
+    orders: Orders,
     pub stream: Option<u64>,
     /// Orders are taken up and carried out, but no answer goes back.
     pub silent: bool,
@@ -74,7 +74,7 @@
                 i as u64,
             ),
             feed: Feed::default(),
-            session: Session::new(Level::Admin),
+            orders: Orders::new(Level::Admin),
             stream: None,
             silent: false,
             away: false,
@@ -156,8 +156,8 @@
             }
             Effect::Dial { proxy, stream, .. } => {
                 let peer = &mut self.peers[proxy];
-                (peer.stream, peer.feed, peer.session) =
-                    (Some(stream), Feed::default(), Session::new(Level::Admin));
+                (peer.stream, peer.feed, peer.orders) =
+                    (Some(stream), Feed::default(), Orders::new(Level::Admin));
                 self.helm.connected(self.now, proxy, stream);
             }
             // What was meant for a stream that is gone by now goes nowhere.
@@ -167,9 +167,11 @@
                 while let Ok(Some(commands)) = self.peers[proxy].feed.next_line() {
                     let peer = &mut self.peers[proxy];
                     let mut out = String::new();
-                    peer.session.line(&commands, &mut peer.held, &mut out);
+                    peer.orders.line(&commands, &mut peer.held, &mut out);
                     peer.answers.push_back(out);
-                    for command in commands.iter().filter(|command| command.word(0) != Some("show")) {
+                    for command in
+                        commands.iter().filter(|command| !matches!(command.word(0), Some("show" | "get")))
+                    {
                         let at = self.now.as_secs_f64();
                         writeln!(self.trace, "{at:.1} r{proxy}: {}", command.text())
                             .expect("a string takes all");
--- a/crates/fleet/tests/orders/troubles.rs
+++ b/crates/fleet/tests/orders/troubles.rs
@@ -4,6 +4,8 @@
 
 use expect_test::expect;
 use lockcroft::{Finding, Listed};
+use lockcroft_proxy::Orders;
+use lockcroft_runtime::Level;
 
 use crate::stage::{Stage, ms};
 
@@ -111,6 +113,47 @@
     .assert_eq(&stage.orders());
 }
 
+/// A stream breaks while nothing is under way: one number tells that both hold the same, and not even
+/// the levels are set again. What was changed by another hand meanwhile is found and mended.
+#[test]
+fn after_a_redial_the_digest_saves_all_lines() {
+    let mut stage = Stage::new(3, 1);
+    stage.run_to(6000).quiet().cut(0);
+    stage.run_to(7000);
+    assert_eq!(stage.orders(), "");
+    stage.cut(0);
+    let mut out = String::new();
+    let by_hand = lockcroft_runtime::split("set weight t0/e1 7");
+    Orders::new(Level::Admin).line(&by_hand, &mut stage.peers[0].held, &mut out);
+    stage.run_to(9000);
+    expect![[r#"
+        7.3 r0: set server t0/e1 weight 256
+        7.3 r0: set var proc.level_look_up int(1000)
+        7.3 r0: set var proc.again_look_up int(1)
+    "#]]
+    .assert_eq(&stage.orders());
+}
+
+/// A table of many lines takes several lines of orders: they take effect together, and a stream that
+/// breaks before the commit leaves the table that stood.
+#[test]
+fn a_message_of_several_lines_takes_effect_as_a_whole() {
+    let mut stage = Stage::new(300, 1);
+    stage.run_to(4900).peers[0].silent = true;
+    stage.run_to(5100);
+    let told = stage.orders();
+    assert!(told.starts_with("5.0 r0: prepare map tables"), "{told}");
+    assert!(!told.contains("commit"), "its version is not known yet");
+    assert_eq!(stage.peers[0].held.backends.len(), 1, "the standing table only");
+    stage.quiet().cut(0);
+    stage.peers[0].silent = false;
+    stage.run_to(6500);
+    assert!(stage.orders().ends_with("5.3 r0: commit map @2 tables\n"), "{}", stage.orders());
+    assert_eq!(stage.picks(0).len(), 300);
+    assert_eq!(stage.peers[0].held.committed, 2);
+    assert_eq!(stage.helm.lines_waiting(), 0);
+}
+
 #[test]
 fn a_proxy_that_started_anew_is_told_all_again() {
     let mut stage = Stage::new(2, 1);
--- a/crates/proxy/benches/forward.rs
+++ b/crates/proxy/benches/forward.rs
@@ -151,29 +151,22 @@
     })
 }
 
-/// Orders 600 lines at once, again and again.
-fn swaps(socket: std::path::PathBuf, endpoint: SocketAddr) {
+fn lines(socket: &std::path::Path, line: impl Fn(usize) -> String, at_once: usize) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let address = Address::Unix(socket);
-    let tell = |line: String| {
-        let _ = runtime.block_on(ask(&address, &line, Duration::from_secs(5)));
-    };
-    for some in (0..600).collect::<Vec<_>>().chunks(100) {
-        let line: Vec<String> = some
-            .iter()
-            .map(|i| format!("add server standing/x{i} {endpoint} weight 1; enable server standing/x{i}"))
-            .collect();
-        tell(line.join("; "));
+    let address = Address::Unix(socket.to_path_buf());
+    for some in (0..600).collect::<Vec<_>>().chunks(at_once) {
+        let lines: Vec<String> = some.iter().map(|i| line(*i)).collect();
+        let _ = runtime.block_on(ask(&address, &lines.join("; "), Duration::from_secs(5)));
     }
+}
+
+/// Changes 600 lines, in sets of 300, again and again.
+fn swaps(socket: &std::path::Path) {
     let begun = Instant::now();
     let mut weight = 1;
     while begun.elapsed() < SPAN {
         weight = 3 - weight;
-        for some in (0..600).collect::<Vec<_>>().chunks(300) {
-            let line: Vec<String> =
-                some.iter().map(|i| format!("set weight standing/x{i} {weight}")).collect();
-            tell(line.join("; "));
-        }
+        lines(socket, |i| format!("set weight standing/x{i} {weight}"), 300);
         std::thread::sleep(Duration::from_millis(20));
     }
 }
@@ -190,12 +183,15 @@
     let half = Some(most / 2.0);
     tell("direct, at half of that", endpoint, half);
     tell("through the proxy, at half of that", through, half);
+    let add = |i| format!("add server standing/x{i} {endpoint} weight 1; enable server standing/x{i}");
+    lines(&socket, add, 100);
+    tell("warm-up with 600 lines, thrown away", through, half);
+    tell("the same, with 600 lines", through, half);
     let swapping = {
         let socket = socket.clone();
-        std::thread::spawn(move || swaps(socket, endpoint))
+        std::thread::spawn(move || swaps(&socket))
     };
-    std::thread::sleep(Duration::from_millis(300));
-    tell("the same, 600 lines changed every 20 ms", through, half);
+    tell("the same, the 600 changed every 20 ms", through, half);
     let _ = swapping.join();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let orders = "set var proc.level_look int(1000); set var proc.again_look int(1)";
--- a/crates/proxy/src/desk.rs
+++ b/crates/proxy/src/desk.rs
@@ -90,8 +90,7 @@
             ["get", "var", name] => {
                 let value = match name {
                     "proc.epoch" => Some(self.epoch),
-                    // The guide's numbers are signed.
-                    "proc.digest" => Some((self.digest() >> 1) as i64),
+                    "proc.digest" => Some(self.digest()),
                     "proc.version" => i64::try_from(self.version).ok(),
                     name => self.vars.get(name).copied(),
                 };
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -1,11 +1,11 @@
 //! Tables, levels and shunning at one proxy.
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use lockcroft_runtime::sheets::Digest;
 use nanorand::WyRand;
 
 use crate::choose::{Chooser, Way};
@@ -64,6 +64,13 @@
         self.share() > 0
     }
 
+    /// Takes over what orders say of a line.
+    fn ordered_as(&mut self, laid: &Line) {
+        let Line { address, weight, first_weight, maint, drain, .. } = *laid;
+        (self.address, self.weight, self.first_weight) = (address, weight, first_weight);
+        (self.maint, self.drain) = (maint, drain);
+    }
+
     /// The weight that counts: none where it takes no visits.
     fn share(&self) -> u32 {
         if self.maint || self.drain { 0 } else { self.weight }
@@ -75,7 +82,7 @@
 pub struct Backend {
     lines: Vec<Line>,
     /// Where each line stands.
-    places: BTreeMap<Rc<str>, usize>,
+    places: Rc<BTreeMap<Rc<str>, usize>>,
     chooser: Chooser,
     /// Lines came or went since the chooser was laid: it is laid anew before the next choice, once for
     /// a whole set of orders.
@@ -88,7 +95,7 @@
 impl Backend {
     pub fn new(way: Way, lines: Vec<Line>) -> Self {
         let weights: Vec<u32> = lines.iter().map(Line::share).collect();
-        let places = lines.iter().enumerate().map(|(place, line)| (line.name.clone(), place)).collect();
+        let places = places(&lines).into();
         Backend { chooser: Chooser::new(way, &weights), stale: false, lines, places, way, version: 0 }
     }
 
@@ -111,18 +118,42 @@
     }
 
     pub fn add(&mut self, line: Line) {
-        self.places.insert(line.name.clone(), self.lines.len());
+        Rc::make_mut(&mut self.places).insert(line.name.clone(), self.lines.len());
         self.lines.push(line);
         self.stale = true;
     }
 
     pub fn remove(&mut self, name: &str) {
         self.lines.retain(|line| *line.name != *name);
-        let places = self.lines.iter().enumerate();
-        self.places = places.map(|(place, line)| (line.name.clone(), place)).collect();
+        self.places = places(&self.lines).into();
         self.stale = true;
     }
 
+    /// Takes over the lines that were laid on a copy of it. What visits did in the meantime stays:
+    /// counters, tries under way, shunning, and whose turn it is.
+    fn follow(&mut self, laid: &Backend) {
+        self.version = laid.version;
+        if Rc::ptr_eq(&self.places, &laid.places) {
+            for (place, (line, laid)) in self.lines.iter_mut().zip(&laid.lines).enumerate() {
+                let share = line.share();
+                line.ordered_as(laid);
+                if line.share() != share && !self.stale {
+                    self.chooser.set(place, line.share());
+                }
+            }
+            return;
+        }
+        let mut lines = laid.lines.clone();
+        for line in &mut lines {
+            if let Some(place) = self.places.get(&line.name) {
+                let own = std::mem::replace(line, self.lines[*place].clone());
+                line.ordered_as(&own);
+            }
+        }
+        *self = Backend { lines, ..laid.clone() };
+        self.lay();
+    }
+
     /// Lays the chooser anew if lines came or went.
     fn lay(&mut self) {
         if std::mem::take(&mut self.stale) {
@@ -139,6 +170,11 @@
     }
 }
 
+/// Where each line stands.
+fn places(lines: &[Line]) -> BTreeMap<Rc<str>, usize> {
+    lines.iter().enumerate().map(|(place, line)| (line.name.clone(), place)).collect()
+}
+
 /// What a proxy does of itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -249,22 +285,45 @@
         }
     }
 
+    /// Adopts what was laid on a copy of this, taken when it held `before`. Backends that no order
+    /// touched stay as they are by now.
+    pub fn adopt(&mut self, laid: Held, before: &Tables) {
+        let mut backends = BTreeMap::new();
+        for (name, laid) in laid.backends {
+            let untouched = before.backends.get(&name).is_some_and(|was| Rc::ptr_eq(was, &laid));
+            let backend = match self.backends.remove(&name) {
+                Some(own) if untouched => own,
+                Some(mut own) => {
+                    Rc::make_mut(&mut own).follow(&laid);
+                    own
+                }
+                None => {
+                    let mut laid = laid;
+                    Rc::make_mut(&mut laid).lay();
+                    laid
+                }
+            };
+            backends.insert(name, backend);
+        }
+        self.backends = backends;
+        (self.map, self.vars, self.prepared) = (laid.map, laid.vars, laid.prepared);
+        (self.version, self.versions) = (laid.version, laid.versions);
+        (self.committed, self.epoch) = (laid.committed, laid.epoch);
+    }
+
     /// The same for two proxies that hold the same lines and map: what a pilot can compare cheaply.
-    pub fn digest(&self) -> u64 {
-        let mut text = String::new();
+    pub fn digest(&self) -> i64 {
+        let mut digest = Digest::default();
         for (name, backend) in &self.backends {
-            let mut lines: Vec<&Line> = backend.lines().iter().collect();
-            lines.sort_by(|a, b| a.name.cmp(&b.name));
-            for line in lines {
-                // Writing to a String cannot fail.
-                let _ =
-                    writeln!(text, "{name} {} {} {} {}", line.name, line.address, line.weight, line.maint);
+            // By name, as the places are.
+            for place in backend.places.values() {
+                let line = &backend.lines[*place];
+                digest.line(name, &line.name, line.address, line.weight, line.maint || line.drain);
             }
         }
-        for (class, backend) in &self.map {
-            let _ = writeln!(text, "{class} {backend}");
-        }
-        xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+        self.map.iter().for_each(|(class, backend)| digest.bound(class, backend));
+        self.vars.iter().for_each(|(name, value)| digest.variable(name, *value));
+        digest.value()
     }
 
     /// The version of the table that a class is on.
--- a/crates/proxy/src/io/control.rs
+++ b/crates/proxy/src/io/control.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::rc::Rc;
 
-use lockcroft_runtime::{After, Feed, Level, Listener, Stream};
+use lockcroft_runtime::{After, Command, Feed, Level, Listener, Stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
 
@@ -41,9 +41,8 @@
                     out = said;
                     After::Stay
                 }
-                None => orders.line(&commands, &mut core.held(), &mut out),
+                None => carry_out(commands, &mut orders, core, &mut out).await,
             };
-            tracing::debug!(target: "lockcroft::orders", commands = commands.len(), "line");
             stream.write_all(out.as_bytes()).await?;
             core.room.notify_waiters();
             if after == After::Close {
@@ -55,3 +54,16 @@
         }
     }
 }
+
+/// Visits have their turn between the pieces of a set; other sets wait until this one is through.
+async fn carry_out(commands: Vec<Command>, orders: &mut Orders, core: &Core, out: &mut String) -> After {
+    let count = commands.len();
+    let _alone = if commands.iter().any(changes) { Some(core.laying.lock().await) } else { None };
+    let mut laying = orders.begin(commands, &core.held());
+    while !orders.step(&mut laying) {
+        tokio::task::yield_now().await;
+    }
+    let after = orders.finish(laying, &mut core.held(), out);
+    tracing::debug!(target: "lockcroft::orders", commands = count, "line");
+    after
+}
--- a/crates/proxy/src/io/running.rs
+++ b/crates/proxy/src/io/running.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use lockcroft_runtime::{Address, Command, Listener};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::guard::Guard;
@@ -28,6 +28,8 @@
     pub post: ProxyPost,
     pub start: Instant,
     held: RefCell<Held>,
+    /// Held by the control connection whose set is being laid.
+    pub laying: Mutex<()>,
     pub pool: RefCell<Pool>,
     pub budget: RefCell<Budget>,
     /// Microseconds of answered tries, by endpoint and class.
@@ -108,6 +110,7 @@
             budget: RefCell::new(Budget::new(post.second_share)),
             start: Instant::now(),
             held: RefCell::new(held),
+            laying: Mutex::new(()),
             pool: RefCell::new(Pool::new(post.idle_most)),
             times: RefCell::default(),
             room: Notify::new(),
--- a/crates/proxy/src/orders.rs
+++ b/crates/proxy/src/orders.rs
@@ -1,11 +1,19 @@
 //! Orders on one control connection. A line of orders is a set: it takes effect as a whole or not at
 //! all. Sets that need several lines are prepared and committed, in the guide's form for maps, under
 //! the name `tables`. A pilot that names its epoch is fenced off by a later one.
+//!
+//! A set is laid in pieces on a copy of what is held, and adopted in one short step: visits that come
+//! meanwhile choose by the tables as they were, and none waits until a long set is through.
+
+use std::collections::VecDeque;
 
 use lockcroft_runtime::{After, Answer, Command, Desk, Entry, Level, Session};
 
 use crate::held::{Held, Tables};
 
+/// Orders laid before visits have their turn: some microseconds.
+pub const PIECE: usize = 4;
+
 /// The state of one control connection.
 pub struct Orders {
     session: Session,
@@ -14,72 +22,126 @@
     prepared: Option<(u64, Held, Vec<Command>)>,
 }
 
+/// A line of orders on its way.
+pub struct Laying {
+    left: VecDeque<Command>,
+    /// Orders of a prepared set that is being committed, with its version and what was laid before it.
+    replay: Option<(VecDeque<Command>, u64, Tables)>,
+    /// Places of the commands that change something, among the line's answers.
+    orders: Vec<usize>,
+    laid: Held,
+    before: Tables,
+    refused: Option<String>,
+    after: After,
+    answers: Vec<String>,
+}
+
+impl Laying {
+    fn done(&self) -> bool {
+        self.after != After::Stay || (self.left.is_empty() && self.replay.is_none())
+    }
+}
+
 impl Orders {
     pub fn new(level: Level) -> Self {
         Orders { session: Session::new(level), epoch: None, prepared: None }
     }
 
-    /// Carries out a line. If an order in it is refused, none of them was done, and each says so.
+    /// Carries out a line, all of it at once. If an order in it is refused, none of them was done, and
+    /// each says so.
     pub fn line(&mut self, commands: &[Command], held: &mut Held, out: &mut String) -> After {
-        let orders = commands.iter().filter(|command| changes(command)).count();
-        let before: Option<Tables> = (orders > 0).then(|| held.tables());
-        let begun = out.len();
-        let (mut refused, mut after) = (None, After::Stay);
-        if commands.is_empty() {
-            return self.session.line(commands, held, out);
-        }
-        for command in commands {
-            after = match self.own(command, held) {
-                Some(said) => {
-                    let said = note(said, command, &mut refused);
-                    out.push_str(&said);
-                    if !said.is_empty() {
-                        out.push('\n');
-                    }
-                    After::Stay
-                }
-                None => {
-                    let (desk, refused) =
-                        (self.prepared.as_mut().map_or(&mut *held, |(_, held, _)| held), &mut refused);
-                    let after = self.session.command(command, &mut Noting { held: desk, refused }, out);
-                    if changes(command)
-                        && let Some((_, _, commands)) = &mut self.prepared
-                    {
-                        commands.push(command.clone());
-                    }
-                    after
-                }
-            };
-            self.session.end(out);
-            if after != After::Stay {
-                break;
+        let mut laying = self.begin(commands.to_vec(), held);
+        while !self.step(&mut laying) {}
+        self.finish(laying, held, out)
+    }
+
+    /// Takes up a line. Between this and [`Orders::finish`] no other set may be adopted.
+    pub fn begin(&self, commands: Vec<Command>, held: &Held) -> Laying {
+        let orders = (0..commands.len()).filter(|place| changes(&commands[*place]));
+        Laying {
+            orders: orders.collect(),
+            left: commands.into(),
+            replay: None,
+            laid: held.clone(),
+            before: held.tables(),
+            refused: None,
+            after: After::Stay,
+            answers: Vec::new(),
+        }
+    }
+
+    /// Lays some more of its orders, at most [`PIECE`]; `true` once none is left.
+    pub fn step(&mut self, laying: &mut Laying) -> bool {
+        for _ in 0..PIECE {
+            if laying.done() {
+                return true;
+            }
+            if laying.replay.is_some() {
+                replay(laying);
+            } else if let Some(command) = laying.left.pop_front() {
+                self.command(&command, laying);
             }
         }
-        match (refused, before) {
-            (Some(why), Some(before)) if orders > 1 => {
-                held.restore(before);
-                out.truncate(begun);
-                for command in commands {
-                    if changes(command) {
-                        out.push_str(&format!(
-                            "Not done, as an order of its set was refused: {}\n",
-                            why.trim()
-                        ));
-                    }
-                    self.session.end(out);
+        laying.done()
+    }
+
+    /// What was laid becomes what is held, or nothing of it; the answers go out.
+    pub fn finish(&mut self, mut laying: Laying, held: &mut Held, out: &mut String) -> After {
+        let refused = laying.refused.take().filter(|_| laying.orders.len() > 1);
+        if let Some(why) = &refused {
+            let said = format!("Not done, as an order of its set was refused: {}\n", why.trim());
+            for answer in &mut laying.answers {
+                answer.clear();
+            }
+            for place in &laying.orders {
+                if let Some(answer) = laying.answers.get_mut(*place) {
+                    answer.clone_from(&said);
                 }
             }
-            (None, Some(before)) if self.prepared.is_none() => held.took_effect(&before),
-            _ => {}
+        } else if !laying.orders.is_empty() {
+            if self.prepared.is_none() {
+                laying.laid.took_effect(&laying.before);
+            }
+            held.adopt(laying.laid, &laying.before);
+        }
+        let empty = laying.answers.is_empty();
+        for answer in laying.answers {
+            out.push_str(&answer);
+            self.session.end(out);
+        }
+        if empty {
+            return self.session.line(&[], held, out);
+        }
+        if self.session.lasting() || laying.after != After::Stay { laying.after } else { After::Close }
+    }
+
+    fn command(&mut self, command: &Command, laying: &mut Laying) {
+        if let Some(said) = self.own(command, laying) {
+            let mut said = note(said, command, &mut laying.refused);
+            if !said.is_empty() {
+                said.push('\n');
+            }
+            laying.answers.push(said);
+            return;
+        }
+        let (prepared, refused) = (self.prepared.as_mut(), &mut laying.refused);
+        let desk = prepared.map_or(&mut laying.laid, |(_, held, _)| held);
+        let mut out = String::new();
+        laying.after = self.session.command(command, &mut Noting { held: desk, refused }, &mut out);
+        laying.answers.push(out);
+        if changes(command)
+            && let Some((_, _, commands)) = &mut self.prepared
+        {
+            commands.push(command.clone());
         }
-        if self.session.lasting() || after != After::Stay { after } else { After::Close }
     }
 
     /// What concerns the connection and its sets rather than a table.
-    fn own(&mut self, command: &Command, held: &mut Held) -> Option<Result<String, String>> {
+    fn own(&mut self, command: &Command, laying: &mut Laying) -> Option<Result<String, String>> {
         if !self.session.may(Level::Admin) {
             return None;
         }
+        let held = &mut laying.laid;
         // Most orders are about servers, of any number in a set.
         let about_server = command.word(1) == Some("server");
         if about_server && self.epoch.is_none_or(|epoch| epoch >= held.epoch) {
@@ -98,7 +160,7 @@
                 self.prepared = Some((held.versions, held.clone(), Vec::new()));
                 Some(Ok(format!("New version created: {}", held.versions)))
             }
-            ["commit", "map", version, "tables"] => Some(self.commit(version, held)),
+            ["commit", "map", version, "tables"] => Some(self.commit(version, laying)),
             _ => None,
         }
     }
@@ -114,23 +176,37 @@
         Ok(String::new())
     }
 
-    fn commit(&mut self, version: &str, held: &mut Held) -> Result<String, String> {
+    /// Begins to commit a prepared set: its orders are laid anew, on what is held by now.
+    fn commit(&mut self, version: &str, laying: &mut Laying) -> Result<String, String> {
         let out_of_range = || "Version number out of range.".to_string();
         let version: u64 = version.strip_prefix('@').and_then(|v| v.parse().ok()).ok_or_else(out_of_range)?;
         let (_, _, commands) =
             self.prepared.take().filter(|(own, ..)| *own == version).ok_or_else(out_of_range)?;
-        if version <= held.committed {
+        if version <= laying.laid.committed {
             return Err(out_of_range());
         }
-        let before = held.tables();
-        for command in &commands {
-            if let Err(why) = held.carry_out(command) {
-                held.restore(before);
-                return Err(format!("Not done, as an order of its set was refused: {}", why.trim()));
+        laying.replay = Some((commands.into(), version, laying.laid.tables()));
+        Ok(String::new())
+    }
+}
+
+/// One more order of a set that is being committed; the first that is refused undoes the set.
+fn replay(laying: &mut Laying) {
+    let Some((mut commands, version, before)) = laying.replay.take() else { return };
+    let Some(command) = commands.pop_front() else {
+        laying.laid.committed = version;
+        return;
+    };
+    match laying.laid.carry_out(&command) {
+        Ok(_) => laying.replay = Some((commands, version, before)),
+        Err(why) => {
+            laying.laid.restore(before);
+            let why = format!("Not done, as an order of its set was refused: {}", why.trim());
+            laying.refused.get_or_insert(why.clone());
+            if let Some(answer) = laying.answers.last_mut() {
+                *answer = why + "\n";
             }
         }
-        held.committed = version;
-        Ok(String::new())
     }
 }
 
@@ -150,7 +226,7 @@
 /// Whether a command changes what is held.
 pub fn changes(command: &Command) -> bool {
     let first = command.word(0);
-    matches!(first, Some("add" | "del" | "set" | "commit" | "clear" | "enable" | "disable"))
+    matches!(first, Some("add" | "del" | "set" | "prepare" | "commit" | "clear" | "enable" | "disable"))
 }
 
 /// A desk that remembers the first order that was refused.
--- a/crates/proxy/tests/sockets.rs
+++ b/crates/proxy/tests/sockets.rs
@@ -288,7 +288,15 @@
         let mut slow = TcpStream::connect(stage.proxy.visits).await.expect("connected");
         slow.write_all(b"GET /look HTTP/1.1\r\n\r\nGET /look HTTP/1.1\r\n\r\n").await.expect("sent");
         let mut byte = [0];
-        let _ = slow.read(&mut byte).await;
+        let slowly = tokio::task::spawn_local(async move {
+            // One byte a second, for as long as the test lasts.
+            let mut read = 0;
+            while slow.read(&mut [0]).await.is_ok_and(|bytes| bytes == 1) && read < 6 {
+                read += 1;
+                sleep(Duration::from_secs(1)).await;
+            }
+            read
+        });
         let begun = Instant::now();
         for _ in 0..50 {
             assert_eq!(stage.visit().await, 200);
@@ -300,6 +308,10 @@
             timeout(Duration::from_secs(1), silent[0].read(&mut byte)).await,
             Ok(Ok(0) | Err(_))
         ));
+        for _ in 0..50 {
+            assert_eq!(stage.visit().await, 200);
+        }
+        assert_eq!(slowly.await.expect("ran"), 6, "one that reads is not cut off");
     });
 }
 
--- a/crates/rehearsal/src/wire.rs
+++ b/crates/rehearsal/src/wire.rs
@@ -61,6 +61,7 @@
                     wire: &wire,
                     asked: VecDeque::new(),
                     set: Vec::new(),
+                    prepared: None,
                     answers: Answers::default(),
                     cut: false,
                 };
@@ -80,6 +81,8 @@
     asked: VecDeque<(String, usize)>,
     /// Orders of a line that were answered so far.
     set: Vec<(String, String)>,
+    /// Orders of a set that is being prepared; they take effect with its commit.
+    prepared: Option<Vec<(String, String)>>,
     answers: Answers,
     /// No answer reaches the pilot any more; the stream breaks once all were given.
     cut: bool,
@@ -159,12 +162,26 @@
     fn answered(&mut self) {
         while let Some(answer) = self.answers.next_answer() {
             let Some((command, left)) = self.asked.pop_front() else { return };
-            if split(&command).first().is_some_and(changes) {
-                self.set.push((command, answer.trim().to_string()));
-                if left == 0 {
-                    let (relay, orders) = (self.wire.name.clone(), std::mem::take(&mut self.set));
-                    self.wire.tap.put(What::Set { relay, orders });
-                }
+            if !split(&command).first().is_some_and(changes) {
+                continue;
+            }
+            let answer = answer.trim().to_string();
+            if command == "prepare map tables" {
+                self.prepared = answer.starts_with("New version").then(Vec::new);
+                continue;
+            }
+            if command.starts_with("commit map") && command.ends_with(" tables") {
+                let done = answer.is_empty();
+                self.set.extend(self.prepared.take().into_iter().flatten().filter(|_| done));
+            } else if let Some(prepared) = &mut self.prepared {
+                prepared.push((command, answer));
+                continue;
+            } else {
+                self.set.push((command, answer));
+            }
+            if left == 0 && !self.set.is_empty() {
+                let (relay, orders) = (self.wire.name.clone(), std::mem::take(&mut self.set));
+                self.wire.tap.put(What::Set { relay, orders });
             }
         }
     }
--- a/crates/runtime/src/sheets.rs
+++ b/crates/runtime/src/sheets.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 /// The columns of `show stat`, in the guide's order. Behind the guide's come, as its readers must
 /// expect, later ones: `ttot_ok` is this project's, the milliseconds of all answered tries since the start.
@@ -218,3 +219,30 @@
     };
     lines.enumerate().map(row).collect()
 }
+
+/// What two sides hold, as one number that they can compare: `get var proc.digest`. Lines go in by
+/// backend and server, then the entries of the map by class, then variables by name, each in the order
+/// of their names.
+#[derive(Clone, Debug, Default)]
+pub struct Digest(String);
+
+impl Digest {
+    /// A line of a backend; barred: it takes no visits, whatever its weight.
+    pub fn line(&mut self, backend: &str, server: &str, address: SocketAddr, weight: u32, barred: bool) {
+        // Writing to a String cannot fail.
+        let _ = writeln!(self.0, "{backend} {server} {address} {weight} {barred}");
+    }
+
+    pub fn bound(&mut self, class: &str, backend: &str) {
+        let _ = writeln!(self.0, "{class} {backend}");
+    }
+
+    pub fn variable(&mut self, name: &str, value: i64) {
+        let _ = writeln!(self.0, "{name} {value}");
+    }
+
+    /// Not negative: half of the hash's range.
+    pub fn value(&self) -> i64 {
+        (xxhash_rust::xxh3::xxh3_64(self.0.as_bytes()) >> 1) as i64
+    }
+}
--- a/crates/runtime/src/words.rs
+++ b/crates/runtime/src/words.rs
@@ -21,6 +21,17 @@
 
 /// The commands of a line; empty ones are left out.
 pub fn split(line: &str) -> Vec<Command> {
+    if !line.contains('\\') {
+        let words = |command: &str| -> Vec<String> {
+            command.split([' ', '\t']).filter(|word| !word.is_empty()).map(str::to_string).collect()
+        };
+        let commands = line.split(';').map(words).filter(|words| !words.is_empty());
+        return commands.map(|words| Command { words, payload: None }).collect();
+    }
+    split_escaped(line)
+}
+
+fn split_escaped(line: &str) -> Vec<Command> {
     let mut commands = Vec::new();
     let (mut words, mut word) = (Vec::new(), None::<String>);
     let mut signs = line.chars();
