Work listed weights out by a flow of work over groups of servers, held until lines pay

The solver takes servers of a zone that the same classes may use as one group, cuts each group's room into sixteen pieces priced by a stated queueing estimate, and sends work along successive best paths in whole numbers. A keeper takes another answer only as far as it gains more than its lines cost; a learner bounds capacities from reports, with ages.

--- /dev/null
+++ b/crates/solver/benches/solve.rs
@@ -0,0 +1,110 @@
+//! Time of an answer by size, against the plain linear program of the whole and against a greedy way;
+//! and of a new answer after one change. Run: cargo bench -p lockcroft-solver --bench solve
+
+#[path = "../tests/whole/mod.rs"]
+mod whole;
+
+use std::time::{Duration, Instant};
+
+use lockcroft_solver::{Class, Keeper, Price, Problem, Server, solve, value};
+
+/// Sizes double; places are spread by whole numbers, not by chance.
+fn problem(servers: usize, zones: usize, classes: usize) -> Problem {
+    let server = |i: usize| Server {
+        zone: i % zones,
+        capacity: [1.0, 2.0, 4.0, 8.0][i / zones % 4],
+        warmth: if i % 17 == 0 { 0.25 } else { 1.0 },
+        withdrawn: i % 23 == 0,
+    };
+    let room = servers as f64 * 3.75;
+    let class = |k: usize| Class {
+        work: 0.02 * (k + 1) as f64,
+        contract_time: 0.5 + 0.1 * k as f64,
+        earnings: 1.0 + (k * 7 % classes) as f64,
+        // Every third class has zones of its own.
+        zones: if k % 3 == 2 { vec![k % zones, (k + 1) % zones] } else { vec![] },
+        servers: vec![],
+        demand: (0..zones)
+            .map(|zone| {
+                let skew = (zone + 1) as f64 / (zones + 1) as f64;
+                1.1 * room * skew / (zones * classes) as f64 / (0.02 * (k + 1) as f64)
+            })
+            .collect(),
+    };
+    Problem {
+        zones,
+        servers: (0..servers).map(server).collect(),
+        classes: (0..classes).map(class).collect(),
+        crossing: 0.2,
+    }
+}
+
+/// Classes by earnings of their work, each into its own zone first and then in order: what one would
+/// do by hand, without regard to lateness.
+fn greedy(problem: &Problem) -> f64 {
+    let mut room: Vec<f64> = vec![0.0; problem.zones];
+    for server in problem.servers.iter().filter(|server| !server.withdrawn) {
+        room[server.zone] += server.capacity * server.warmth;
+    }
+    let mut order: Vec<&Class> = problem.classes.iter().collect();
+    order.sort_by(|a, b| (b.earnings / b.work).total_cmp(&(a.earnings / a.work)));
+    let mut sum = 0.0;
+    for class in order {
+        for (zone, visits) in class.demand.iter().enumerate() {
+            let mut left = visits * class.work;
+            let may = |to: &usize| class.zones.is_empty() || class.zones.contains(to);
+            for to in std::iter::once(zone).chain((0..problem.zones).filter(|to| *to != zone)).filter(may) {
+                let units = left.min(room[to]);
+                (left, room[to]) = (left - units, room[to] - units);
+                let crossing = if to == zone { 0.0 } else { problem.crossing };
+                sum += units * (class.earnings - crossing) / class.work;
+            }
+        }
+    }
+    sum
+}
+
+fn timed<T>(work: impl Fn() -> T) -> (Duration, T) {
+    let mut best = (Duration::MAX, work());
+    for _ in 0..5 {
+        let begun = Instant::now();
+        let got = work();
+        if begun.elapsed() < best.0 {
+            best = (begun.elapsed(), got);
+        }
+    }
+    best
+}
+
+fn main() {
+    println!("least of 5 runs; gains in earnings a second");
+    for (servers, zones, classes) in [(20, 2, 2), (200, 3, 3), (640, 4, 3), (2000, 4, 8), (10_000, 8, 20)] {
+        let problem = problem(servers, zones, classes);
+        let (took, answer) = timed(|| solve(&problem).expect("sound"));
+        let mut changed = problem.clone();
+        changed.servers[1].withdrawn = true;
+        let price = Price { line: 0.01, lines_most: 1000, stands: 10.0 };
+        let numbers: Vec<usize> = (0..servers).collect();
+        let mut keeper = Keeper::default();
+        keeper.take(&problem, &numbers, &answer, price);
+        let (again, lines) = timed(|| {
+            let answer = solve(&changed).expect("sound");
+            keeper.clone().take(&changed, &numbers, &answer, price).len()
+        });
+        let equal = value(&problem, &vec![1; servers], &answer.let_in);
+        let laid = value(&problem, &answer.weights, &answer.let_in);
+        println!(
+            "{servers:6} servers {zones} zones {classes:2} classes: {took:10.1?} total {:10.1}, after one change \
+             {again:10.1?} with {lines} lines; on-time earnings by weights {laid:.1}, by equal weights {equal:.1}; \
+             greedy before lateness {:.1} ({:.1?})",
+            answer.objective.total(),
+            greedy(&problem),
+            timed(|| greedy(&problem)).0,
+        );
+        if servers <= 200 {
+            let begun = Instant::now();
+            let best = whole::best(&problem);
+            println!("       the whole as a linear program: {:.1?}, total {best:.1}", begun.elapsed());
+        }
+    }
+}
--- /dev/null
+++ b/crates/solver/src/learn.rs
@@ -0,0 +1,114 @@
+//! What a problem needs, from what reports show: capacity by server, each with its bounds and its age.
+//! Reports bound a capacity from below (work done on time) and from above (work done while late). What
+//! is old loses force, so that a server jammed once does not look small for ever; what was never shown
+//! is not believed, so that an idle one does not look large, nor one that tells no load while it is late.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What is known before any report.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prior {
+    /// Cores.
+    pub capacity: f64,
+    /// Evidence loses half of its force in this time: some report periods.
+    pub fades: Duration,
+}
+
+/// One server over one report period.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Look {
+    /// Seconds of one core a second that its fulfilled visits took.
+    pub done: f64,
+    /// Its tries took longer than their contract time, or failed.
+    pub late: bool,
+    /// The share of its cores in use, where it tells.
+    pub load: Option<f64>,
+}
+
+/// A capacity with its bounds, in cores, and the age of the last report that bore on it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub capacity: f64,
+    pub least: f64,
+    pub most: f64,
+    pub age: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Shown {
+    least: f64,
+    most: f64,
+    /// From load and work, while not late.
+    told: Option<f64>,
+    at: Duration,
+}
+
+/// A load below this says too little of the whole.
+const LOAD_LEAST: f64 = 1.0 / 8.0;
+/// What a server tells of itself is believed to be right within this factor of what was known.
+const TOLD_WITHIN: f64 = 4.0;
+/// Each look moves what was told before by this share.
+const TOLD_MOVES: f64 = 1.0 / 8.0;
+
+#[derive(Clone, Debug)]
+pub struct Learner {
+    prior: Prior,
+    shown: BTreeMap<usize, Shown>,
+}
+
+impl Learner {
+    pub fn new(prior: Prior) -> Self {
+        Learner { prior, shown: BTreeMap::new() }
+    }
+
+    /// Takes a look at a server; `prior` is what the list says of it.
+    pub fn look(&mut self, now: Duration, server: usize, prior: f64, look: Look) {
+        let mut shown = self.aged(now, server, prior);
+        if look.late {
+            // It could do no more than this; what it showed to be able to lately still stands.
+            shown.most = shown.most.min(look.done.max(shown.least));
+        } else {
+            shown.least = shown.least.max(look.done);
+            shown.most = shown.most.max(shown.least);
+            if let Some(load) = look.load.filter(|load| *load >= LOAD_LEAST && *load <= 1.0) {
+                let told = (look.done / load).clamp(prior / TOLD_WITHIN, prior * TOLD_WITHIN);
+                // What is told again did not lose force in between.
+                let was = self.shown.get(&server).and_then(|shown| shown.told).unwrap_or(told);
+                shown.told = Some(was + (told - was) * TOLD_MOVES);
+            }
+        }
+        self.shown.insert(server, Shown { at: now, ..shown });
+    }
+
+    /// What is believed of a server now.
+    pub fn estimate(&self, now: Duration, server: usize, prior: f64) -> Estimate {
+        let shown = self.aged(now, server, prior);
+        let capacity = shown.told.unwrap_or(prior).clamp(shown.least, shown.most);
+        let age = self.shown.get(&server).map(|shown| now.saturating_sub(shown.at));
+        Estimate { capacity, least: shown.least, most: shown.most, age }
+    }
+
+    /// Servers that went are forgotten.
+    pub fn keep(&mut self, listed: impl Fn(usize) -> bool) {
+        self.shown.retain(|server, _| listed(*server));
+    }
+
+    fn aged(&self, now: Duration, server: usize, prior: f64) -> Shown {
+        let most = prior * TOLD_WITHIN;
+        let fresh = Shown { least: 0.0, most, told: None, at: now };
+        let Some(shown) = self.shown.get(&server) else { return fresh };
+        let fades = self.prior.fades.as_secs_f64().max(f64::MIN_POSITIVE);
+        let force = 0.5_f64.powf(now.saturating_sub(shown.at).as_secs_f64() / fades);
+        let told = shown.told.map(|told| prior + (told - prior) * force);
+        let least = shown.least * force;
+        // A bound that halves in force doubles, up to what nothing is known of.
+        let bound = if force > 0.0 { (shown.most / force).min(most.max(shown.most)) } else { most };
+        Shown { least, most: bound.max(least), told, at: shown.at }
+    }
+
+    /// The capacity that is assumed of a server whose list says nothing.
+    pub fn prior(&self) -> f64 {
+        self.prior.capacity
+    }
+}
