Plan listed weights in the pilot from reports; lay planned shares as a ceiling

The solver's answers reach proxies on the ordinary path: the pilot gathers demand by class and zone, learns capacities from reports, loads and times, solves off its thread, and takes answers as the list's weights and as a ceiling of what is let in (one new input of the module).

--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -9,6 +9,7 @@
 use lockcroft::{Decision, Finding, Pilot, Proxy, Server, TableNumber};
 use lockcroft_naming::Places;
 use lockcroft_runtime::sheets::read_stat;
+use lockcroft_solver::Answer;
 use lockcroft_terms::{Post, Roster};
 use nanorand::WyRand;
 use tracing::{debug, info, warn};
@@ -17,6 +18,7 @@
 use crate::book::{Book, Desk};
 use crate::events::Events;
 use crate::list::{List, Word};
+use crate::planner::{Planner, Task};
 use crate::published::{Published, Scale};
 use crate::reports::{Counters, Told};
 
@@ -45,6 +47,8 @@
         stream: u64,
         text: String,
     },
+    /// Solve this, off the thread that decides, and tell [`Helm::planned`].
+    Solve(Box<Task>),
     /// The stream is given up; nothing more is heard of it.
     Close {
         proxy: Proxy,
@@ -93,6 +97,7 @@
     pub(crate) landed: Histogram<u64>,
     pub(crate) queue_most: f64,
     pub(crate) wave: u64,
+    pub(crate) planner: Option<Planner>,
     touched: BTreeSet<Proxy>,
     /// Joined proxies by the tables that they were put on.
     on: BTreeMap<TableNumber, BTreeSet<Proxy>>,
@@ -132,6 +137,7 @@
             landed: Histogram::new_with_bounds(1, 600_000_000, 2).expect("bounds are in order"),
             queue_most: post.terms.limit("fleet.queue_most_lines"),
             wave: 1,
+            planner: Planner::read(&post.terms, post.places.zones.len()),
             touched: BTreeSet::new(),
             on: BTreeMap::new(),
             due: BTreeSet::new(),
@@ -173,9 +179,33 @@
         self.now = now;
         debug!(target: "lockcroft::input", wave = self.wave, server = self.list.name(server), ?finding,
             ms = took.as_millis() as u64, "probed");
+        if let (Some(planner), Finding::Passed(Some(load))) = (&mut self.planner, finding) {
+            planner.probed(server, load);
+        }
         self.pilot.probed(now, server, finding, took);
     }
 
+    /// The answer to a task; none if it was no sound problem. Weights that it changes are the list's
+    /// from now on.
+    pub fn planned(&mut self, now: Duration, task: Task, answer: Option<Answer>) {
+        self.now = now;
+        let Some(planner) = &mut self.planner else { return };
+        let joined = self.berths.iter().filter(|berth| berth.stage == Stage::Joined).count();
+        let lines = planner.answered(task, answer, joined);
+        for (server, steps) in &lines {
+            // Somewhere to go if all others fail.
+            self.list.plan(*server, self.scale.weight(f64::from((*steps).max(1))));
+        }
+        for (class, share) in planner.let_in().iter().enumerate() {
+            self.pilot.planned(class, *share);
+        }
+        if !lines.is_empty() {
+            info!(target: "lockcroft::input", wave = self.wave, lines = lines.len(), "planned");
+            self.events.add(now, self.wave, &format!("plan: {} lines of the list", lines.len()));
+            self.tell_list(now);
+        }
+    }
+
     /// A stream stands: the proxy is asked what it holds before anything is ordered.
     pub fn connected(&mut self, now: Duration, proxy: Proxy, stream: u64) {
         self.now = now;
@@ -313,11 +343,17 @@
                 met.sum_ms += took.as_secs_f64() * 1e3 * f64::from(tries - failed);
                 debug!(target: "lockcroft::input", wave = self.wave, proxy = self.berths[proxy].at.name,
                     server = name, tries, failed, ms = took.as_millis() as u64, "reported");
+                if let Some(planner) = &mut self.planner {
+                    planner.reported(server, tries, failed, took);
+                }
                 self.pilot.reported(now, server, tries, failed, took);
             }
             Told::Class { name, visits } => {
                 if let Ok(class) = self.places.class(&name) {
                     self.visits[class] += u64::from(visits);
+                    if let Some(planner) = &mut self.planner {
+                        planner.counted(self.berths[proxy].at.zone, class, visits);
+                    }
                     self.pilot.counted(proxy, class, visits);
                 }
             }
@@ -330,7 +366,8 @@
             return self.now;
         }
         let own = self.due.first().map_or(Duration::MAX, |(time, _)| *time);
-        self.pilot.next_due().min(own)
+        let plan = self.planner.as_ref().map_or(Duration::MAX, |planner| planner.due);
+        self.pilot.next_due().min(own).min(plan)
     }
 
     /// Lines that wait for all proxies, or are on their way to one.
@@ -348,6 +385,9 @@
     pub fn decide(&mut self, now: Duration) -> Vec<Effect> {
         self.now = now;
         self.pass_time(now);
+        let servers = self.pilot.beliefs().0;
+        let task = self.planner.as_mut().and_then(|planner| planner.task(now, servers));
+        self.effects.extend(task.map(|task| Effect::Solve(Box::new(task))));
         self.pilot.queued(self.lines_waiting());
         let before = self.sums.decisions;
         while let Some(decision) = self.pilot.next_decision(now) {
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -29,6 +29,8 @@
     names: Names,
     lines: BTreeMap<Server, Line>,
     words: BTreeMap<Server, Word>,
+    /// Weights that were worked out, in place of the file's.
+    planned: BTreeMap<Server, f64>,
     pub version: u64,
 }
 
@@ -60,7 +62,8 @@
             Listed::Ready if word.drains => Listed::Draining,
             state => state,
         };
-        let weight = word.weight.unwrap_or(line.entry.weight);
+        let planned = self.planned.get(&server).copied();
+        let weight = word.weight.or(planned).unwrap_or(line.entry.weight);
         let age = line.age.map(|(age, seen)| age + (now - seen));
         Listing { server, zone: line.entry.zone, kind: line.entry.kind, state, weight, age }
     }
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Takes a weight that was worked out; it stands until the next, also while the server is down.
+    pub fn plan(&mut self, server: Server, weight: f64) {
+        self.planned.insert(server, weight);
+    }
+
     pub fn word(&self, server: Server) -> Word {
         self.words.get(&server).copied().unwrap_or_default()
     }
--- /dev/null
+++ b/crates/fleet/src/planner.rs
@@ -0,0 +1,250 @@
+//! Listed weights worked out ahead: what the solver needs is gathered here from what the pilot is told,
+//! and what it answers becomes the list's weights and a ceiling for what is let in. When it is solved,
+//! and on which thread, is the host's matter; until there is an answer the last one stands.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lockcroft::{Class, Known, Server, Terms, Zone};
+use lockcroft_solver::{Answer, Keeper, Learner, Look, Price, Prior, Problem};
+
+/// Evidence of a capacity loses half of its force in so many plans.
+const FADES_PLANS: f64 = 12.0;
+/// Each plan moves the demand that is known by this share towards what was counted since.
+const DEMAND_MOVES: f64 = 0.5;
+/// Each probe moves a server's load by this share.
+const LOAD_MOVES: f64 = 0.25;
+/// The changed lines of one plan fill the queue to this share at most.
+const QUEUE_SHARE: f64 = 0.25;
+
+/// A problem to be solved, and the servers that its places stand for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Task {
+    pub problem: Problem,
+    pub servers: Vec<Server>,
+}
+
+/// What was reported of a server since the last plan.
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    tries: f64,
+    failed: f64,
+    seconds: f64,
+}
+
+/// A class as the terms state it.
+#[derive(Clone)]
+struct Stated {
+    work: f64,
+    contract_time: f64,
+    earnings: f64,
+    zones: Vec<Zone>,
+    kinds: Option<Vec<usize>>,
+}
+
+pub struct Planner {
+    every: Duration,
+    cores: f64,
+    crossing: f64,
+    cold_share: f64,
+    warm_within: Duration,
+    /// Lines a second and lines in the queue, for a line at one proxy.
+    pace: f64,
+    queue: f64,
+    classes: Vec<Stated>,
+    learner: Learner,
+    loads: BTreeMap<Server, f64>,
+    seen: BTreeMap<Server, Seen>,
+    /// Visits a second by class and zone, and visits counted since the last plan.
+    demand: Vec<Vec<f64>>,
+    counted: Vec<Vec<f64>>,
+    keeper: Keeper,
+    since: Duration,
+    pub due: Duration,
+    /// A task is out.
+    out: bool,
+    /// The last answer, its task, and the lines that it changed, for those who ask.
+    pub last: Option<(Task, Answer, usize)>,
+}
+
+impl Planner {
+    /// None unless the terms ask for plans.
+    pub fn read(terms: &Terms, zones: usize) -> Option<Self> {
+        let every = terms.time("solver.every_us").filter(|every| !every.is_zero())?;
+        let cores = terms.number("solver.cores").unwrap_or(1.0);
+        let stated = |class: Class| {
+            let name = |what: &str| format!("classes.{class}.{what}");
+            let seconds = |what: &str| terms.time(&name(what)).unwrap_or_default().as_secs_f64();
+            let contract_time = seconds("contract_time_us");
+            Stated {
+                // What is not stated is taken for a tenth of the contract time.
+                work: terms
+                    .time(&name("work_us"))
+                    .map_or(contract_time / 10.0, |work| work.as_secs_f64())
+                    .max(1e-6),
+                contract_time: contract_time.max(1e-6),
+                earnings: terms.number(&name("earnings")).unwrap_or(1.0),
+                zones: terms.positions(&name("only_zones"), "zones").unwrap_or_default(),
+                kinds: terms.positions(&name("only_kinds"), "kinds"),
+            }
+        };
+        let classes: Vec<Stated> = (0..terms.count("classes")).map(stated).collect();
+        let none = vec![vec![0.0; zones]; classes.len()];
+        Some(Planner {
+            every,
+            cores,
+            crossing: terms.number("solver.crossing").unwrap_or(0.0),
+            cold_share: terms.number("rules.cold_share").unwrap_or(1.0),
+            warm_within: terms.span("rules.warm_within_us"),
+            pace: terms.limit("fleet.channel_lines_per_s"),
+            queue: terms.limit("fleet.queue_most_lines"),
+            classes,
+            learner: Learner::new(Prior { capacity: cores, fades: every.mul_f64(FADES_PLANS) }),
+            loads: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            demand: none.clone(),
+            counted: none,
+            keeper: Keeper::default(),
+            since: Duration::ZERO,
+            due: every,
+            out: false,
+            last: None,
+        })
+    }
+
+    /// The load that a server told a probe.
+    pub fn probed(&mut self, server: Server, load: f64) {
+        let was = self.loads.entry(server).or_insert(load);
+        *was += (load - *was) * LOAD_MOVES;
+    }
+
+    pub fn reported(&mut self, server: Server, tries: u32, failed: u32, took: Duration) {
+        let seen = self.seen.entry(server).or_default();
+        seen.tries += f64::from(tries);
+        seen.failed += f64::from(failed);
+        seen.seconds += took.as_secs_f64() * f64::from(tries.saturating_sub(failed));
+    }
+
+    pub fn counted(&mut self, zone: Zone, class: Class, visits: u32) {
+        self.counted[class][zone] += f64::from(visits);
+    }
+
+    /// A task, if one is due and none is out.
+    pub fn task(&mut self, now: Duration, servers: &BTreeMap<Server, Known>) -> Option<Task> {
+        if now < self.due || self.out {
+            return None;
+        }
+        self.due = now + self.every;
+        self.take_demand(now);
+        self.take_looks(now, servers);
+        // Before anything was counted there is nothing to plan for, and the list stands.
+        if self.demand.iter().flatten().sum::<f64>() <= 0.0 {
+            return None;
+        }
+        self.out = true;
+        Some(self.problem(now, servers))
+    }
+
+    fn take_demand(&mut self, now: Duration) {
+        let span = now.saturating_sub(self.since).as_secs_f64().max(1e-3);
+        self.since = now;
+        for (known, counted) in self.demand.iter_mut().flatten().zip(self.counted.iter_mut().flatten()) {
+            let rate = std::mem::take(counted) / span;
+            *known = if *known == 0.0 { rate } else { *known + (rate - *known) * DEMAND_MOVES };
+        }
+    }
+
+    fn take_looks(&mut self, now: Duration, servers: &BTreeMap<Server, Known>) {
+        let (mut visits, mut work, mut contract) = (0.0, 0.0, 0.0);
+        for (class, demand) in self.classes.iter().zip(&self.demand) {
+            let demand: f64 = demand.iter().sum();
+            visits += demand;
+            work += demand * class.work;
+            contract += demand * class.contract_time;
+        }
+        if visits <= 0.0 {
+            return;
+        }
+        let (work, contract) = (work / visits, contract / visits);
+        let span = self.every.as_secs_f64();
+        for (server, seen) in std::mem::take(&mut self.seen) {
+            let Some(known) = servers.get(&server) else { continue };
+            // A cold server shows what a cold one can do, and not what it can do.
+            if known.cold(now) || seen.tries <= 0.0 {
+                continue;
+            }
+            let fulfilled = seen.tries - seen.failed;
+            let took = seen.seconds / fulfilled.max(1.0);
+            let late = took > contract || seen.failed * 2.0 > seen.tries;
+            let load = self.loads.get(&server).copied();
+            let slowdown = took / work;
+            let look = Look { done: fulfilled * work / span, late, slowdown, load };
+            self.learner.look(now, server, self.cores, look);
+        }
+        self.learner.keep(|server| servers.contains_key(&server));
+        self.loads.retain(|server, _| servers.contains_key(server));
+    }
+
+    fn problem(&self, now: Duration, servers: &BTreeMap<Server, Known>) -> Task {
+        let mut task = Task { problem: Problem::default(), servers: Vec::new() };
+        let mut kinds = Vec::new();
+        for (server, known) in servers {
+            let up = known.counter.is_some_and(|counter| counter > 1);
+            if known.barred() || !up || known.doubted_until > now {
+                continue;
+            }
+            let capacity = self.learner.estimate(now, *server, self.cores).capacity;
+            let cold = known.warm_at.saturating_sub(now).as_secs_f64();
+            let grown = 1.0 - cold / self.warm_within.as_secs_f64().max(1e-3);
+            let warmth = self.cold_share + (1.0 - self.cold_share) * grown.clamp(0.0, 1.0);
+            task.servers.push(*server);
+            kinds.push(known.listing.kind);
+            let zone = known.listing.zone;
+            task.problem.servers.push(lockcroft_solver::Server { zone, capacity, warmth, withdrawn: false });
+        }
+        let places = |class: &Stated| match &class.kinds {
+            Some(only) => (0..kinds.len()).filter(|place| only.contains(&kinds[*place])).collect(),
+            None => Vec::new(),
+        };
+        task.problem.zones = self.demand.first().map_or(0, Vec::len);
+        task.problem.crossing = self.crossing;
+        task.problem.classes = self
+            .classes
+            .iter()
+            .zip(&self.demand)
+            .map(|(class, demand)| lockcroft_solver::Class {
+                work: class.work,
+                contract_time: class.contract_time,
+                earnings: class.earnings,
+                zones: class.zones.clone(),
+                servers: places(class),
+                demand: demand.clone(),
+            })
+            .collect();
+        task
+    }
+
+    /// Takes the answer to a task. Gives the lines of the list that change, in steps of the greatest
+    /// weight; what lets in follows from [`Planner::let_in`].
+    pub fn answered(&mut self, task: Task, answer: Option<Answer>, proxies: usize) -> Vec<(Server, u32)> {
+        self.out = false;
+        let Some(answer) = answer else { return Vec::new() };
+        let proxies = proxies.max(1) as f64;
+        let asked = |class: &lockcroft_solver::Class| class.demand.iter().sum::<f64>() * class.earnings;
+        let earnings: f64 = task.problem.classes.iter().map(asked).sum();
+        let price = Price {
+            // While a line goes out to all proxies, everything else waits for so long.
+            line: earnings * proxies / self.pace,
+            lines_most: (self.queue * QUEUE_SHARE / proxies).clamp(1.0, 1e6) as usize,
+            stands: self.every.as_secs_f64(),
+        };
+        let lines = self.keeper.take(&task.problem, &task.servers, &answer, price);
+        self.last = Some((task, answer, lines.len()));
+        lines
+    }
+
+    /// The share of each class that may be let in; none before the first answer.
+    pub fn let_in(&self) -> &[f64] {
+        self.keeper.let_in()
+    }
+}
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -4,6 +4,7 @@
 
 use lockcroft::{Known, Listed, Server, TableNumber};
 use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StatRow, StateRow, write_stat, write_states};
+use lockcroft_solver::Objective;
 
 use crate::berth::Stage;
 use crate::helm::Helm;
@@ -45,6 +46,45 @@
         lines.iter().fold(String::new(), |text, (name, value)| text + name + ": " + value + "\n")
     }
 
+    /// The last plan: what is dropped and why, then each server with what it can do and what it has.
+    pub fn show_plan(&self) -> String {
+        let Some(planner) = &self.planner else { return "No solver is set.\n".into() };
+        let Some((task, answer, changed)) = &planner.last else { return "No plan yet.\n".into() };
+        let Objective { earned, crossing, lateness } = answer.objective;
+        let mut text = format!(
+            "# earned {earned:.2} crossing {crossing:.2} lateness {lateness:.2} a second; lines changed {changed}\n"
+        );
+        for (class, (name, share)) in self.places.classes.iter().zip(&answer.let_in).enumerate() {
+            let asked: f64 = task.problem.classes[class].demand.iter().sum();
+            let _ = writeln!(text, "class {name} asked_per_s {asked:.1} let_in {share:.3}");
+        }
+        for dropped in &answer.dropped {
+            let before = dropped.before.iter().map(|class| self.places.classes[*class].as_str());
+            let _ = writeln!(
+                text,
+                "dropped {} visits_per_s {:.1} restored_by_cores {:.2} of {:.2} before_it {}",
+                self.places.classes[dropped.class],
+                dropped.visits,
+                dropped.restored_by,
+                dropped.room,
+                before.collect::<Vec<_>>().join(",")
+            );
+        }
+        for (place, server) in task.servers.iter().enumerate() {
+            let is = &task.problem.servers[place];
+            let _ = writeln!(
+                text,
+                "server {} cores {:.2} warmth {:.2} load {:.2} weight {}",
+                self.list.name(*server),
+                is.capacity,
+                is.warmth,
+                answer.loads[place],
+                answer.weights[place]
+            );
+        }
+        text
+    }
+
     /// Counters as the guide's `show stat`: a row for each class and for each server of a table.
     pub fn show_stat(&self) -> String {
         let (servers, tables, _) = self.pilot.beliefs();
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -151,6 +151,10 @@
                 let finding = self.findings.get(&server).copied().unwrap_or(Finding::Passed(None));
                 self.helm.probed(self.now, server, finding, ms(1));
             }
+            Effect::Solve(task) => {
+                let answer = lockcroft_solver::solve(&task.problem).ok();
+                self.helm.planned(self.now, *task, answer);
+            }
             Effect::Dial { proxy, stream, .. } if self.peers[proxy].away => {
                 self.helm.broken(self.now, proxy, stream, "refused");
             }
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -12,8 +12,9 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft::{Finding, Proxy, Server};
-use lockcroft_fleet::{Effect, Helm};
+use lockcroft_fleet::{Effect, Helm, Task};
 use lockcroft_runtime::{Address, Listener};
+use lockcroft_solver::Answer;
 use lockcroft_terms::{Post, Roster, RosterAt};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
@@ -31,6 +32,7 @@
     Probed { server: Server, finding: Finding, took: Duration },
     Connected { proxy: Proxy, stream: u64 },
     Broken { proxy: Proxy, stream: u64, why: String },
+    Planned { task: Box<Task>, answer: Option<Answer> },
     Answered { proxy: Proxy, stream: u64, texts: Vec<String> },
 }
 
@@ -121,6 +123,7 @@
     match news {
         News::Listed(roster) => helm.listed(now, SystemTime::now(), roster),
         News::Probed { server, finding, took } => helm.probed(now, server, finding, took),
+        News::Planned { task, answer } => helm.planned(now, *task, answer),
         News::Connected { proxy, stream } => helm.connected(now, proxy, stream),
         News::Broken { proxy, stream, why } => helm.broken(now, proxy, stream, &why),
         News::Answered { proxy, stream, texts } => {
@@ -138,12 +141,34 @@
                 let _ = told.send(News::Probed { server, finding, took }).await;
             });
         }
+        Effect::Solve(task) => {
+            let told = told.clone();
+            spawn_local(async move { drop(told.send(solve(task).await).await) });
+        }
         Effect::Dial { proxy, stream, after } => hands[proxy].dial(stream, after),
         Effect::Write { proxy, stream, text } => hands[proxy].write(stream, text),
         Effect::Close { proxy } => hands[proxy].close(),
     }
 }
 
+/// Off the thread that decides; the last answer stands meanwhile.
+async fn solve(task: Box<Task>) -> News {
+    let given = task.clone();
+    let answer = tokio::task::spawn_blocking(move || lockcroft_solver::solve(&given.problem)).await;
+    let answer = match answer {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(fault)) => {
+            complain(&format!("no plan: {fault}"));
+            None
+        }
+        Err(fault) => {
+            complain(&format!("no plan: {fault}"));
+            None
+        }
+    };
+    News::Planned { task, answer }
+}
+
 /// Warns of something that concerns people rather than decisions.
 fn complain(text: &str) {
     warn!(target: "lockcroft::pilot", "{text}");
--- a/crates/pilot/src/station.rs
+++ b/crates/pilot/src/station.rs
@@ -38,7 +38,7 @@
     }
 }
 
-const ENTRIES: [Entry; 14] = [
+const ENTRIES: [Entry; 15] = [
     user("show info", "what this pilot is and how it fares"),
     user("show version", "the version of the program"),
     user("show stat", "counters by class, table and server, as CSV"),
@@ -46,6 +46,7 @@
     user("show backend", "tables: members, published, wanted"),
     user("show proxies", "proxies: stream, tables, waiting lines, last answer"),
     user("show levels", "what is let in, by class and table"),
+    user("show plan", "the last plan: what is dropped and why, load against capacity"),
     user("show events [-w]", "the last notes and decisions; -w follows"),
     user("show log", "the levels of the logs"),
     admin(
@@ -81,6 +82,7 @@
             "show backend" => Ok(helm.show_backend()),
             "show proxies" => Ok(helm.show_proxies()),
             "show levels" => Ok(helm.show_levels()),
+            "show plan" => Ok(helm.show_plan()),
             "show events [-w]" => {
                 let mut mark = 0;
                 let text = helm.events_since(&mut mark);
--- a/crates/solver/src/lateness.rs
+++ b/crates/solver/src/lateness.rs
@@ -10,6 +10,10 @@
 /// apart, given how roughly demand is known.
 const PIECES: i64 = 16;
 
+/// Where nothing is late, loads are kept even by this much of what work earns: too little to outweigh
+/// a crossing, enough to keep an idle fleet from filling one zone before it uses the next.
+const EVEN: f64 = 1.0 / 1024.0;
+
 /// A piece of a group's room, and what a unit of work on it costs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Piece {
@@ -36,7 +40,7 @@
 }
 
 fn late_work(load: f64, steep: f64) -> f64 {
-    load * late(load, steep)
+    load * (late(load, steep) + EVEN * load)
 }
 
 /// Contract time over work, times the cores of a server of the group: of the class that asks most.
--- a/crates/solver/src/learn.rs
+++ b/crates/solver/src/learn.rs
@@ -22,6 +22,8 @@
     pub done: f64,
     /// Its tries took longer than their contract time, or failed.
     pub late: bool,
+    /// What a visit took, over the work that it is; 0 where none was fulfilled.
+    pub slowdown: f64,
     /// The share of its cores in use, where it tells.
     pub load: Option<f64>,
 }
@@ -51,6 +53,14 @@
 /// Each look moves what was told before by this share.
 const TOLD_MOVES: f64 = 1.0 / 8.0;
 
+/// The load of a server that tells none, by how much longer visits take than their work: in a queue
+/// with one place of work, the share in use is what they wait of all the time they take. Servers with
+/// several places are less in use than visits wait by; they show larger, which is what lets them be used as
+/// much more as their visits wait less. A quick one is never taken for idler than an eighth.
+fn load_by_times(look: Look) -> Option<f64> {
+    (look.slowdown > 0.0).then(|| (1.0 - 1.0 / look.slowdown.max(1.0)).max(LOAD_LEAST))
+}
+
 #[derive(Clone, Debug)]
 pub struct Learner {
     prior: Prior,
@@ -71,7 +81,8 @@
         } else {
             shown.least = shown.least.max(look.done);
             shown.most = shown.most.max(shown.least);
-            if let Some(load) = look.load.filter(|load| *load >= LOAD_LEAST && *load <= 1.0) {
+            let told = look.load.filter(|load| (LOAD_LEAST..=1.0).contains(load));
+            if let Some(load) = told.or_else(|| load_by_times(look)) {
                 let told = (look.done / load).clamp(prior / TOLD_WITHIN, prior * TOLD_WITHIN);
                 // What is told again did not lose force in between.
                 let was = self.shown.get(&server).and_then(|shown| shown.told).unwrap_or(told);
--- a/crates/terms/src/post.rs
+++ b/crates/terms/src/post.rs
@@ -123,7 +123,7 @@
             self.attributes(&format!("classes.{i}"), node);
             self.span_order(node, "contract-time", "patience");
         }
-        for name in ["fleet", "rules", "allowed"] {
+        for name in ["fleet", "rules", "allowed", "solver"] {
             part(name).into_iter().for_each(|node| self.attributes(name, node));
         }
         self.terms.0.entry("allowed.probes".into()).or_insert(Term::Flag(true));
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -127,6 +127,8 @@
     /// Visits that came of late, and the share that should be let in.
     pub demand: f64,
     pub level: f64,
+    /// The share that a plan made ahead has room for.
+    pub planned: f64,
     /// As it was published.
     pub admitted: Option<f64>,
 }
@@ -142,6 +144,7 @@
             earnings: terms.number(&name("earnings")).unwrap_or(1.0),
             demand: 0.0,
             level: 1.0,
+            planned: 1.0,
             admitted: None,
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -308,6 +308,11 @@
         self.channel.leave(proxy);
     }
 
+    /// A plan made ahead has room for this share of a class's visits: no more is let in, whatever is late.
+    pub fn planned(&mut self, class: Class, share: f64) {
+        self.gates.iter_mut().filter(|gate| gate.class == class).for_each(|gate| gate.planned = share);
+    }
+
     /// So many lines really wait, where the host can tell: proxies that stall take none.
     pub fn queued(&mut self, lines: usize) {
         self.channel.queued = Some(lines as f64);
@@ -493,7 +498,7 @@
         }
         let (pushing, mut steps) = (std::mem::take(&mut self.pushing), Vec::new());
         for (index, gate) in self.gates.iter().enumerate().filter(|_| pushing) {
-            let level = grid(gate.level);
+            let level = grid(gate.level.min(gate.planned));
             if self.tables[gate.table].released && gate.admitted != Some(level) {
                 steps.push(Step(COMMON, Order::Admit(index, level)));
             }
