--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -32,6 +32,8 @@
     pub per_zone: usize,
     pub cores: usize,
     pub speed: f64,
+    /// As the list has it.
+    pub weight: f64,
     pub queue: usize,
     /// Work of a visit that is turned away.
     pub turn_away: Duration,
@@ -140,6 +142,7 @@
             per_zone: number(node, "per-zone", 1.0) as usize,
             cores: number(node, "cores", 1.0) as usize,
             speed: number(node, "speed", 1.0),
+            weight: number(node, "weight", 1.0),
             queue: number(node, "queue", 64.0) as usize,
             turn_away: time(node, "turn-away-work").unwrap_or_default(),
         });
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -42,11 +42,13 @@
             let at = if at.is_empty() { String::new() } else { format!(" ({at})") };
             writeln!(out, "{word:6} {rule:20} {figure:.2} of {limit:.2} {of}{at}")?;
         }
-        let Score { visits, whole, worst_window, worst_at_s, classes } = &self.score;
+        let Score { visits, whole, worst_window, worst_at_s, classes, tens } = &self.score;
         writeln!(
             out,
             "fulfilled earnings {whole:.3} of {visits} visits, {worst_window:.3} in the worst 10 s (from {worst_at_s:.0} s)"
         )?;
+        let tens: Vec<String> = tens.iter().map(|share| format!("{share:.3}")).collect();
+        writeln!(out, "  each 10 s: {}", tens.join(" "))?;
         for (class, share) in classes {
             writeln!(out, "  {class}: {share:.3}")?;
         }
--- a/crates/rehearsal/src/roster.rs
+++ b/crates/rehearsal/src/roster.rs
@@ -12,6 +12,7 @@
     pub zone: String,
     pub kind: String,
     pub address: SocketAddr,
+    pub weight: f64,
     pub state: &'static str,
     /// The last start, on the day's clock and on the wall's.
     pub started: Option<(Duration, SystemTime)>,
@@ -37,11 +38,12 @@
             let started =
                 line.started.map(|(_, at)| format!(" started=\"{}\"", humantime::format_rfc3339_micros(at)));
             text += &format!(
-                "  <server name=\"{name}\" zone=\"{}\" kind=\"{}\" address=\"{}\" state=\"{}\"{}/>\n",
+                "  <server name=\"{name}\" zone=\"{}\" kind=\"{}\" address=\"{}\" state=\"{}\" weight=\"{}\"{}/>\n",
                 line.zone,
                 line.kind,
                 line.address,
                 line.state,
+                line.weight,
                 started.unwrap_or_default()
             );
         }
--- a/crates/rehearsal/src/score.rs
+++ b/crates/rehearsal/src/score.rs
@@ -17,6 +17,8 @@
     /// The worst 10 s of the day, by the time when visits were asked; and where they begin, in s.
     pub worst_window: f64,
     pub worst_at_s: f64,
+    /// The share of each 10 s from the start.
+    pub tens: Vec<f64>,
     pub classes: BTreeMap<String, f64>,
 }
 
@@ -61,6 +63,11 @@
         whole: all.share(),
         worst_window: worst.map_or(0.0, |(_, share)| share.share()),
         worst_at_s: worst.map_or(0.0, |(begin, _)| *begin as f64),
+        tens: windows
+            .iter()
+            .filter(|(begin, _)| **begin % WINDOW.as_secs() == 0)
+            .map(|(_, share)| share.share())
+            .collect(),
         classes: by_class.into_iter().map(|(class, share)| (class, share.share())).collect(),
     }
 }
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -75,7 +75,8 @@
                     let work = day.visits.iter().map(|v| (v.class.clone(), v.work.as_secs_f64())).collect();
                     let endpoint = endpoint(&name, like, work, &limits, &tap).await.map_err(io)?;
                     let (kind, address) = (like.kind.clone(), endpoint.address);
-                    let line = Line { zone: zone.clone(), kind, address, state: "ready", started: None };
+                    let (zone, weight) = (zone.clone(), like.weight);
+                    let line = Line { zone, kind, address, weight, state: "ready", started: None };
                     lines.insert(name.clone(), line);
                     endpoints.insert(name, endpoint);
                 }
