Solve problem files from the command line; learn loads from times by cores

lockcroft solve reads a problem by a schema, tells weights and what is dropped, as text, JSON and a picture; show plan problem writes the pilot's last one. The learner took large servers for larger than they are (7 cores for 4): the load is now the one at which a queue of as many cores slows visits as seen.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `lockcroft` command: a daemon, its questions, and rehearsals.
 
 mod rehearse;
+mod solve;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -54,6 +55,18 @@
         #[arg(long)]
         json: bool,
     },
+    /// Work out weights for a problem, and say what finds no room.
+    #[command(after_help = "Examples:\n  lockcroft solve examples/problem.xml --picture load.svg\n  \
+        lockcroft ask /run/lockcroft.sock show plan problem > now.xml && lockcroft solve now.xml")]
+    Solve {
+        file: PathBuf,
+        /// Print the answer as JSON, with the tables of each class and zone.
+        #[arg(long)]
+        json: bool,
+        /// Draw load against capacity, before and after, as SVG.
+        #[arg(long)]
+        picture: Option<PathBuf>,
+    },
     /// Play a scripted day against a pilot of this program and judge the five rules from the sockets.
     #[command(after_help = "Example: lockcroft rehearse examples/bad-day.xml --json day.json")]
     Rehearse {
@@ -73,6 +86,7 @@
         Task::Proxy { file } => proxy(&file),
         Task::Check { file, json } => check(&file, json),
         Task::Ask { address, command, within, json } => ask_one(&address, &command, within, json),
+        Task::Solve { file, json, picture } => solve::solve(&file, json, picture.as_deref()),
         Task::Rehearse { day, json, keep } => rehearse::rehearse(&day, json.as_deref(), keep),
     }
 }
@@ -88,7 +102,7 @@
     })
 }
 
-fn faults_json(faults: &Faults) -> serde_json::Value {
+pub(crate) fn faults_json(faults: &Faults) -> serde_json::Value {
     let fault = |fault: &lockcroft_terms::Fault| {
         json!({"file": fault.file, "line": fault.line, "element": fault.element, "wrong": fault.wrong,
             "allowed": fault.allowed})
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -3,8 +3,9 @@
 use std::fmt::Write;
 
 use lockcroft::{Known, Listed, Server, TableNumber};
+use lockcroft_naming::Places;
 use lockcroft_runtime::sheets::{FORCED_DRAIN, FORCED_MAINT, StatRow, StateRow, write_stat, write_states};
-use lockcroft_solver::Objective;
+use lockcroft_solver::{Objective, Problem};
 
 use crate::berth::Stage;
 use crate::helm::Helm;
@@ -46,6 +47,16 @@
         lines.iter().fold(String::new(), |text, (name, value)| text + name + ": " + value + "\n")
     }
 
+    /// The problem that was solved last, with the names of its servers.
+    pub fn plan(&self) -> Option<(&Problem, Vec<String>)> {
+        let (task, ..) = self.planner.as_ref()?.last.as_ref()?;
+        Some((&task.problem, task.servers.iter().map(|server| self.list.name(*server).into()).collect()))
+    }
+
+    pub fn places(&self) -> &Places {
+        &self.places
+    }
+
     /// The last plan: what is dropped and why, then each server with what it can do and what it has.
     pub fn show_plan(&self) -> String {
         let Some(planner) = &self.planner else { return "No solver is set.\n".into() };
--- a/crates/pilot/src/station.rs
+++ b/crates/pilot/src/station.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use lockcroft_fleet::Helm;
+use lockcroft_plans::Named;
 use lockcroft_runtime::{Answer, Command, Desk, Entry, Level};
 use tokio::sync::Notify;
 
@@ -38,7 +39,7 @@
     }
 }
 
-const ENTRIES: [Entry; 15] = [
+const ENTRIES: [Entry; 16] = [
     user("show info", "what this pilot is and how it fares"),
     user("show version", "the version of the program"),
     user("show stat", "counters by class, table and server, as CSV"),
@@ -47,6 +48,7 @@
     user("show proxies", "proxies: stream, tables, waiting lines, last answer"),
     user("show levels", "what is let in, by class and table"),
     user("show plan", "the last plan: what is dropped and why, load against capacity"),
+    user("show plan problem", "the problem that was solved last, as a file for lockcroft solve"),
     user("show events [-w]", "the last notes and decisions; -w follows"),
     user("show log", "the levels of the logs"),
     admin(
@@ -67,6 +69,13 @@
     Entry { words, level: Level::Admin, help }
 }
 
+fn problem(helm: &Helm) -> Result<String, String> {
+    let (problem, servers) = helm.plan().ok_or("No plan yet.")?;
+    let places = helm.places();
+    let (zones, classes) = (places.zones.clone(), places.classes.clone());
+    Ok(lockcroft_plans::write(&Named { problem: problem.clone(), zones, servers, classes }))
+}
+
 impl Desk for Station {
     fn entries(&self) -> &'static [Entry] {
         &ENTRIES
@@ -83,6 +92,7 @@
             "show proxies" => Ok(helm.show_proxies()),
             "show levels" => Ok(helm.show_levels()),
             "show plan" => Ok(helm.show_plan()),
+            "show plan problem" => problem(helm),
             "show events [-w]" => {
                 let mut mark = 0;
                 let text = helm.events_since(&mut mark);
--- /dev/null
+++ b/crates/plans/tests/plans.rs
@@ -0,0 +1,76 @@
+//! Problem files there and back, and answers as people see them.
+
+use std::path::Path;
+
+use expect_test::expect;
+use lockcroft_plans::{Named, SCHEMA, json, picture, text, write};
+use lockcroft_solver::solve;
+use lockcroft_terms::Document;
+
+const PROBLEM: &str = include_str!("../../../examples/problem.xml");
+
+fn read(text: &str) -> Result<Named, String> {
+    let document = Document::new(Path::new("problem.xml"), text.into(), SCHEMA);
+    document.and_then(|document| Named::read(&document)).map_err(|faults| faults.to_string())
+}
+
+#[test]
+fn an_answer_says_what_is_dropped_and_who_has_what() {
+    let named = read(PROBLEM).expect("sound");
+    let answer = solve(&named.problem).expect("sound");
+    expect![[r#"
+        1145.18 earnings a second: 1157.81 by visits let in, less 7.72 crossing, less 4.92 lateness
+        class recent-calls: 100.0% let in
+        class period-history: 55.6% let in
+        class export: 0.0% let in
+        dropped period-history: 62.2 visits a second; 5.55 cores more than the 23.00 that it may use would take them in; there before it: recent-calls
+        dropped export: 10.0 visits a second; 2.29 cores more than the 4.00 that it may use would take them in; there before it: recent-calls, period-history
+        server                    cores now weight   load       used   used alike
+        athens-1                       2.00     60   1.75        88%         256%
+        athens-2                       8.00    239   7.00        88%          64%
+        athens-3                       1.00    119   0.88        88%         512%
+        patra-1                        4.00    119   3.50        88%         178%
+        patra-2                        8.00    256   7.50        94%          64%
+        patra-3                        0.00      0   0.00          -            -
+    "#]].assert_eq(&text(&named, &answer).to_string());
+    let json = json(&named, &answer);
+    assert_eq!(json["dropped"][0]["class"], "period-history");
+    assert_eq!(json["tables"].as_array().map(Vec::len), Some(6));
+    assert_eq!(json["servers"][4]["weight"], 256);
+}
+
+#[test]
+fn a_problem_that_was_written_is_read_as_it_was() {
+    let named = read(PROBLEM).expect("sound");
+    assert_eq!(read(&write(&named)).expect("sound"), named);
+}
+
+#[test]
+fn what_is_wrong_is_named_with_its_line() {
+    let lost = PROBLEM.replace(
+        "<demand zone=\"patra\" visits-per-s=\"10\"/>",
+        "<demand zone=\"corinth\" visits-per-s=\"10\"/>",
+    );
+    let twice = PROBLEM.replace("name=\"patra-2\"", "name=\"patra-1\"");
+    let below = PROBLEM.replace("cores=\"2\"", "cores=\"-2\"");
+    let mut said = String::new();
+    for text in [lost, twice, below] {
+        said += &(read(&text).expect_err("wrong") + "\n");
+    }
+    expect![[r#"
+        problem.xml:21: /problem/classes/class/demand: zone "corinth" is not listed; allowed: athens, patra
+        problem.xml:10: /problem/servers/server: patra-1 is listed twice; allowed: each name once
+        problem.xml:6: /problem/servers/server: attribute cores: "-2" does not fit; allowed: a number of 0 or more
+    "#]].assert_eq(&said);
+}
+
+/// Bars that overflow are red above, and none below.
+#[test]
+fn the_picture_shows_who_was_overloaded() {
+    let named = read(PROBLEM).expect("sound");
+    let answer = solve(&named.problem).expect("sound");
+    let drawn = picture(&named, &answer).expect("drawn");
+    let (above, below) = drawn.split_once("as solved").expect("two charts");
+    let red = |part: &str| part.matches("#FF0000").count();
+    assert!(red(above) > 0 && red(below) == 0, "{} above, {} below", red(above), red(below));
+}
--- a/crates/solver/src/answer.rs
+++ b/crates/solver/src/answer.rs
@@ -24,7 +24,7 @@
     pub class: usize,
     /// Visits a second.
     pub visits: f64,
-    /// Cores that would take them in, where the class may go.
+    /// Cores that would take them in, where the class may go, used as those that are there.
     pub restored_by: f64,
     /// Cores that there are where the class may go.
     pub room: f64,
--- a/crates/solver/src/learn.rs
+++ b/crates/solver/src/learn.rs
@@ -53,12 +53,35 @@
 /// Each look moves what was told before by this share.
 const TOLD_MOVES: f64 = 1.0 / 8.0;
 
-/// The load of a server that tells none, by how much longer visits take than their work: in a queue
-/// with one place of work, the share in use is what they wait of all the time they take. Servers with
-/// several places are less in use than visits wait by; they show larger, which is what lets them be used as
-/// much more as their visits wait less. A quick one is never taken for idler than an eighth.
+/// The load of a server that tells none, by how much longer visits take than their work. Of all loads,
+/// each with the number of cores that would do what was done at it, the one is taken at which a queue
+/// with so many cores would slow visits by just this much. A quick one is never taken for idler than an eighth.
 fn load_by_times(look: Look) -> Option<f64> {
-    (look.slowdown > 0.0).then(|| (1.0 - 1.0 / look.slowdown.max(1.0)).max(LOAD_LEAST))
+    if look.slowdown <= 0.0 || look.done <= 0.0 {
+        return None;
+    }
+    let (mut low, mut high) = (LOAD_LEAST, 1.0);
+    for _ in 0..HALVINGS {
+        let middle = f64::midpoint(low, high);
+        if slowdown(look.done / middle, middle) < look.slowdown {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    Some(low)
+}
+
+/// Finer than loads are known.
+const HALVINGS: usize = 20;
+
+/// How much longer visits take than their work at so many cores in use by this share: Sakasegawa's
+/// estimate for queues with several places (1977). Less than one core is a slow one.
+fn slowdown(cores: f64, load: f64) -> f64 {
+    if cores < 1.0 {
+        return 1.0 / (cores * (1.0 - load));
+    }
+    1.0 + load.powf((2.0 * (cores + 1.0)).sqrt() - 1.0) / (cores * (1.0 - load))
 }
 
 #[derive(Clone, Debug)]
--- a/crates/solver/src/solve.rs
+++ b/crates/solver/src/solve.rs
@@ -106,22 +106,19 @@
         let work = self.problem.classes[class].work;
         let own = |group: &&Group| group.classes.binary_search(&class).is_ok();
         let room: i64 = self.groups.iter().filter(own).map(|group| group.room).sum();
-        let mut before = Vec::new();
-        for (other, zones) in placed.iter().enumerate() {
-            let there = |groups: &Vec<i64>| {
-                self.groups
-                    .iter()
-                    .zip(groups)
-                    .filter(|(group, _)| own(group))
-                    .map(|(_, units)| units)
-                    .sum::<i64>()
+        let own_work = |zones: &Vec<Vec<i64>>| {
+            let there = |groups: &Vec<i64>| -> i64 {
+                self.groups.iter().zip(groups).filter(|(group, _)| own(group)).map(|(_, units)| units).sum()
             };
-            if other != class && zones.iter().map(there).sum::<i64>() > 0 {
-                before.push(other);
-            }
-        }
+            zones.iter().map(there).sum::<i64>()
+        };
+        let before = |other: &usize| *other != class && own_work(&placed[*other]) > 0;
+        let before = (0..placed.len()).filter(before).collect();
+        // New cores would be used no further than those that are there.
+        let used = placed.iter().map(own_work).sum::<i64>();
+        let share = if used > 0 { used as f64 / room as f64 } else { 1.0 };
         let visits = units as f64 / UNIT / work;
-        Dropped { class, visits, restored_by: units as f64 / UNIT, room: room as f64 / UNIT, before }
+        Dropped { class, visits, restored_by: units as f64 / UNIT / share, room: room as f64 / UNIT, before }
     }
 
     /// A server's listed weight is its part of the planned work if it were warm: what holds a cold
