--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use lockcroft::{Class, Known, Server, Terms, Zone};
+use lockcroft::{Class, Kind, Known, Server, Terms, Zone};
 use lockcroft_solver::{Answer, Keeper, Learner, Look, Price, Prior, Problem};
 
 /// Evidence of a capacity loses half of its force in so many plans.
@@ -44,7 +44,9 @@
 
 pub struct Planner {
     every: Duration,
+    /// Cores of a server before anything was learnt: of its kind, or of any.
     cores: f64,
+    kinds: BTreeMap<Kind, f64>,
     crossing: f64,
     cold_share: f64,
     warm_within: Duration,
@@ -93,6 +95,9 @@
         Some(Planner {
             every,
             cores,
+            kinds: (0..terms.count("kinds"))
+                .filter_map(|kind| Some((kind, terms.number(&format!("solver.kind_cores.{kind}"))?)))
+                .collect(),
             crossing: terms.number("solver.crossing").unwrap_or(0.0),
             cold_share: terms.number("rules.cold_share").unwrap_or(1.0),
             warm_within: terms.span("rules.warm_within_us"),
@@ -179,12 +184,17 @@
             let load = self.loads.get(&server).copied();
             let slowdown = took / work;
             let look = Look { done: fulfilled * work / span, late, slowdown, load };
-            self.learner.look(now, server, self.cores, look);
+            let prior = self.prior(known);
+            self.learner.look(now, server, prior, look);
         }
         self.learner.keep(|server| servers.contains_key(&server));
         self.loads.retain(|server, _| servers.contains_key(server));
     }
 
+    fn prior(&self, known: &Known) -> f64 {
+        self.kinds.get(&known.listing.kind).copied().unwrap_or(self.cores)
+    }
+
     fn problem(&self, now: Duration, servers: &BTreeMap<Server, Known>) -> Task {
         let mut task = Task { problem: Problem::default(), servers: Vec::new() };
         let mut kinds = Vec::new();
@@ -193,7 +203,7 @@
             if known.barred() || !up || known.doubted_until > now {
                 continue;
             }
-            let capacity = self.learner.estimate(now, *server, self.cores).capacity;
+            let capacity = self.learner.estimate(now, *server, self.prior(known)).capacity;
             let cold = known.warm_at.saturating_sub(now).as_secs_f64();
             let grown = 1.0 - cold / self.warm_within.as_secs_f64().max(1e-3);
             let warmth = self.cold_share + (1.0 - self.cold_share) * grown.clamp(0.0, 1.0);
--- a/crates/fleet/tests/orders/main.rs
+++ b/crates/fleet/tests/orders/main.rs
@@ -1,5 +1,6 @@
 //! What proxies are told, and what they hold in the end, in the troubles that streams have.
 
 mod converge;
+mod plans;
 mod stage;
 mod troubles;
--- /dev/null
+++ b/crates/fleet/tests/orders/plans.rs
@@ -0,0 +1,55 @@
+//! Plans on the ordinary path: what is learnt becomes listed weights and ceilings.
+
+use lockcroft::Finding;
+use lockcroft_fleet::Helm;
+
+use crate::stage::{Stage, ms};
+
+const SOLVER: &str = r#"<solver every="1s" cores="4"/>"#;
+
+/// A server that tells a low load at the same work is the larger one: it is given more, and no proxy is told
+/// the same twice once the plan stands.
+#[test]
+fn what_servers_tell_becomes_weights() {
+    let mut stage = Stage::with_solver(2, 1, SOLVER);
+    stage.visits(60, &[ms(160), ms(160)], 1);
+    stage.findings.insert(0, Finding::Passed(Some(0.8)));
+    stage.findings.insert(1, Finding::Passed(Some(0.2)));
+    stage.run_to(60_000);
+    let picks = stage.picks(0);
+    let [(_, small), (_, large)] = &picks[..] else { panic!("{picks:?}") };
+    assert!(*large > 2 * *small && *small > 0, "{picks:?}");
+    let plan = stage.helm.show_plan();
+    assert!(plan.contains("class look-up") && plan.contains("server e1"), "{plan}");
+    stage.quiet().run_to(90_000);
+    assert_eq!(stage.orders(), "", "what stands is not told again");
+}
+
+/// More visits than all servers can do: what is let in is what there is room for, and no more.
+#[test]
+fn a_plan_that_is_short_is_a_ceiling() {
+    let mut stage = Stage::with_solver(2, 1, r#"<solver every="1s" cores="1"/>"#);
+    stage.visits(100, &[ms(120), ms(120)], 5);
+    stage.run_to(20_000);
+    let plan = stage.helm.show_plan();
+    let word = |from: &str| plan.split_once(from).and_then(|(_, rest)| rest.split_whitespace().next());
+    let planned: f64 = word("let_in ").and_then(|share| share.parse().ok()).expect("planned");
+    assert!(planned < 0.25, "a visit is a tenth of a second's work, and one in five is fulfilled: {plan}");
+    assert!(plan.contains("dropped look-up"), "{plan}");
+    let levels = stage.orders();
+    let levels: Vec<f64> = levels
+        .lines()
+        .filter_map(|line| line.split_once("level_look_up int(")?.1.trim_end_matches(')').parse().ok())
+        .collect();
+    let last = *levels.last().expect("told");
+    assert!(last <= 250.0 && last <= planned * 1000.0 + 50.0, "{levels:?} of {planned}");
+}
+
+#[test]
+fn without_a_solver_there_is_no_plan() {
+    let mut stage = Stage::new(2, 1);
+    stage.visits(100, &[ms(60), ms(60)], 1);
+    stage.run_to(10_000);
+    assert_eq!(stage.helm.show_plan(), "No solver is set.\n");
+    assert!(Helm::plan(&stage.helm).is_none());
+}
--- a/crates/solver/src/learn.rs
+++ b/crates/solver/src/learn.rs
@@ -75,13 +75,17 @@
 /// Finer than loads are known.
 const HALVINGS: usize = 20;
 
+/// Visits of one length wait half as long as ones of exponential lengths. How much lengths differ is
+/// not known; the least wait is assumed, so that a server is rather taken for smaller than it is.
+const REGULAR: f64 = 0.5;
+
 /// How much longer visits take than their work at so many cores in use by this share: Sakasegawa's
 /// estimate for queues with several places (1977). Less than one core is a slow one.
 fn slowdown(cores: f64, load: f64) -> f64 {
     if cores < 1.0 {
-        return 1.0 / (cores * (1.0 - load));
+        return (1.0 + REGULAR * load / (1.0 - load)) / cores;
     }
-    1.0 + load.powf((2.0 * (cores + 1.0)).sqrt() - 1.0) / (cores * (1.0 - load))
+    1.0 + REGULAR * load.powf((2.0 * (cores + 1.0)).sqrt() - 1.0) / (cores * (1.0 - load))
 }
 
 #[derive(Clone, Debug)]
@@ -99,8 +103,9 @@
     pub fn look(&mut self, now: Duration, server: usize, prior: f64, look: Look) {
         let mut shown = self.aged(now, server, prior);
         if look.late {
-            // It could do no more than this; what it showed to be able to lately still stands.
-            shown.most = shown.most.min(look.done.max(shown.least));
+            // It could do no more than this; what it showed to be able to lately still stands, and what
+            // fails for other reasons, with less and less let in, does not make it small without end.
+            shown.most = shown.most.min(look.done.max(shown.least).max(prior / TOLD_WITHIN));
         } else {
             shown.least = shown.least.max(look.done);
             shown.most = shown.most.max(shown.least);
--- a/crates/terms/src/post.rs
+++ b/crates/terms/src/post.rs
@@ -115,6 +115,9 @@
         for list in ["zones", "kinds"] {
             for (i, node) in members(part(list)).into_iter().enumerate() {
                 self.put(&format!("{list}.{i}"), Term::Text(text(node, "name")));
+                if let Some(cores) = node.attribute("cores").and_then(|cores| cores.parse().ok()) {
+                    self.put(&format!("solver.kind_cores.{i}"), Term::Number(cores));
+                }
             }
             self.once(part(list));
         }
