--- a/crates/solver/benches/solve.rs
+++ b/crates/solver/benches/solve.rs
@@ -64,6 +64,13 @@
     sum
 }
 
+/// The most memory that this process had so far, where the system tells.
+fn memory() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmHWM"));
+    line.map_or("unknown".into(), |line| line.split_whitespace().skip(1).collect::<Vec<_>>().join(" "))
+}
+
 fn timed<T>(work: impl Fn() -> T) -> (Duration, T) {
     let mut best = (Duration::MAX, work());
     for _ in 0..5 {
@@ -96,10 +103,11 @@
         println!(
             "{servers:6} servers {zones} zones {classes:2} classes: {took:10.1?} total {:10.1}, after one change \
              {again:10.1?} with {lines} lines; on-time earnings by weights {laid:.1}, by equal weights {equal:.1}; \
-             greedy before lateness {:.1} ({:.1?})",
+             greedy before lateness {:.1} ({:.1?}); at most {} so far",
             answer.objective.total(),
             greedy(&problem),
             timed(|| greedy(&problem)).0,
+            memory(),
         );
         if servers <= 200 {
             let begun = Instant::now();
