Test plans where all servers turn cold and where a kind comes back at once

Two of the issue's hard cases had no test. Weights stay as if warm, loads keep to warmth, and less is let in; both pass, and fail where a plan takes cold servers for warm.

--- a/crates/solver/tests/answers.rs
+++ b/crates/solver/tests/answers.rs
@@ -169,3 +169,32 @@
     assert_eq!(check(&|p| p.classes[0].servers = vec![3]), "class 0: no such server: 3");
     assert_eq!(solve(&Problem { crossing: -1.0, ..sound }), Err(Fault::Crossing(-1.0)));
 }
+
+/// All servers of a class turn cold at once: no more is let in than cold ones can do, and weights stay, so
+/// that no line is sent in the midst of it.
+#[test]
+fn when_all_turn_cold_less_is_let_in_and_weights_stay() {
+    let warm = problem(1, vec![server(0, 4.0), server(0, 2.0)], vec![class(0.1, 1.0, &[50.0])]);
+    let mut cold = warm.clone();
+    cold.servers.iter_mut().for_each(|server| server.warmth = 0.25);
+    let (before, after) = (solve(&warm).expect("sound"), solve(&cold).expect("sound"));
+    assert_eq!((before.let_in[0], &before.weights), (1.0, &after.weights));
+    assert!(after.let_in[0] <= 1.5 / 5.0, "1.5 cores of 5: {:?}", after.let_in);
+    assert!(after.loads.iter().zip([1.0, 0.5]).all(|(load, room)| *load <= room));
+}
+
+/// One kind is gone and comes back at once, cold: it has its part of the weights again, and load by its
+/// warmth only.
+#[test]
+fn one_kind_that_comes_back_at_once_gets_load_by_its_warmth() {
+    let mut servers = vec![server(0, 2.0); 8];
+    servers[4..].iter_mut().for_each(|server| server.withdrawn = true);
+    let gone = problem(1, servers.clone(), vec![class(0.1, 1.0, &[100.0])]);
+    servers[4..].iter_mut().for_each(|server| (server.withdrawn, server.warmth) = (false, 0.25));
+    let back = Problem { servers, ..gone.clone() };
+    let (gone, back) = (solve(&gone).expect("sound"), solve(&back).expect("sound"));
+    assert_eq!(gone.weights[4..], [0; 4]);
+    assert_eq!(back.weights, [256; 8]);
+    assert!(back.loads[4..].iter().all(|load| *load <= 0.5), "{:?}", back.loads);
+    assert!(back.let_in[0] > gone.let_in[0], "{:?} then {:?}", gone.let_in, back.let_in);
+}
