--- a/crates/cli/tests/daemon/files.rs
+++ b/crates/cli/tests/daemon/files.rs
@@ -82,3 +82,20 @@
     assert!(text(&nobody.stderr).contains("cannot be reached"));
     assert_eq!(run(&["rehearse", "/nowhere/day.xml"]).status.code(), Some(2));
 }
+
+#[test]
+fn a_problem_is_solved_and_a_wrong_one_is_named() {
+    let house = House::new();
+    let problem = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/problem.xml");
+    let (picture, file) = (house.path("load.svg"), house.path("problem.xml"));
+    let said = run(&["solve", problem, "--json", "--picture", &picture.display().to_string()]);
+    assert_eq!(said.status.code(), Some(0), "{}", text(&said.stderr));
+    let json: serde_json::Value = serde_json::from_slice(&said.stdout).expect("JSON");
+    assert_eq!(json["dropped"].as_array().map(Vec::len), Some(2));
+    assert!(std::fs::read_to_string(picture).expect("drawn").starts_with("<svg"));
+    let wrong = std::fs::read_to_string(problem).expect("there").replace("work=\"40ms\"", "work=\"0ms\"");
+    std::fs::write(&file, wrong).expect("written");
+    let said = run(&["solve", &file.display().to_string()]);
+    assert_eq!(said.status.code(), Some(2));
+    assert!(text(&said.stderr).contains("recent-calls (class 0: work 0)"), "{}", text(&said.stderr));
+}
