Call the module's own up and warmth; group servers once for all weights tried

Read over once more: the views and the planner had written the module's rise and warmth again, with its RISE as a literal; the keeper grouped all servers anew for each set of weights that it tried, on the thread that decides, and first cleared a map that it then replaced, by a scan for each entry; while a plan was late the pilot's loop would have spun, as the plan that was due could not begin; a task travelled as a copy beside the flag that said it was out. Two posts read the element log, pilot and proxy each spelt a class's variables, and the plans' room stood beside the solver's. Each is one piece now; the checker no longer takes commands apart twice. Learner::prior, which nobody called, is gone.

--- a/crates/fleet/src/berth.rs
+++ b/crates/fleet/src/berth.rs
@@ -85,13 +85,13 @@
 
     /// The stream is gone, and with it all that was on its way.
     pub fn leave(&mut self, now: Duration, why: &str) {
+        let book = std::mem::take(&mut self.book);
         if self.stage == Stage::Joined {
-            self.kept = Some(self.book.kept());
+            self.kept = Some(book.kept());
         }
         self.stage = Stage::Away;
         self.since = now;
         self.stream += 1;
-        self.book = Book::default();
         self.counters = Counters::default();
         self.asked.clear();
         self.breaks += 1;
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use lockcroft::{Class, Server, TableNumber};
-use lockcroft_runtime::sheets::{Digest, FORCED_DRAIN, FORCED_MAINT, StateRow};
+use lockcroft_runtime::sheets::{Digest, FORCED_DRAIN, FORCED_MAINT, StateRow, class_variable};
 
 use crate::list::List;
 use crate::published::{Published, Scale};
@@ -171,11 +171,11 @@
                 write!(text, "{word} map classes {} t{table}", self.classes[class])
             }
             Change::Level(class, level) => {
-                write!(text, "set var proc.level_{} int({level})", self.classes[class].replace('-', "_"))
+                write!(text, "set var {} int({level})", class_variable("level", &self.classes[class]))
             }
             Change::Again(class, again) => {
-                let name = self.classes[class].replace('-', "_");
-                write!(text, "set var proc.again_{name} int({})", u8::from(again))
+                let name = class_variable("again", &self.classes[class]);
+                write!(text, "set var {name} int({})", u8::from(again))
             }
         }
     }
@@ -220,14 +220,9 @@
     }
 
     /// What was held when a stream ended, for the next one; orders and bindings are of one stream.
-    pub fn kept(&mut self) -> Book {
-        Book {
-            held: std::mem::take(&mut self.held),
-            others: std::mem::take(&mut self.others),
-            maps: std::mem::take(&mut self.maps),
-            levels: std::mem::take(&mut self.levels),
-            ..Book::default()
-        }
+    pub fn kept(self) -> Book {
+        let Book { held, others, maps, levels, .. } = self;
+        Book { held, others, maps, levels, ..Book::default() }
     }
 
     /// The digest that the proxy tells if it holds just this.
@@ -247,9 +242,9 @@
         maps.iter().for_each(|(class, pool)| digest.bound(class, &self.backend(*pool)));
         let mut variables = BTreeMap::new();
         for (class, (level, again)) in &self.levels {
-            let name = classes[*class].replace('-', "_");
-            variables.extend(level.map(|level| (format!("proc.level_{name}"), i64::from(level))));
-            variables.extend(again.map(|again| (format!("proc.again_{name}"), i64::from(again))));
+            let name = |what: &str| class_variable(what, &classes[*class]);
+            variables.extend(level.map(|level| (name("level"), i64::from(level))));
+            variables.extend(again.map(|again| (name("again"), i64::from(again))));
         }
         variables.iter().for_each(|(name, value)| digest.variable(name, *value));
         digest.value()
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use hdrhistogram::Histogram;
@@ -48,7 +49,7 @@
         text: String,
     },
     /// Solve this, off the thread that decides, and tell [`Helm::planned`].
-    Solve(Box<Task>),
+    Solve(Arc<Task>),
     /// The stream is given up; nothing more is heard of it.
     Close {
         proxy: Proxy,
@@ -185,13 +186,13 @@
         self.pilot.probed(now, server, finding, took);
     }
 
-    /// The answer to a task; none if it was no sound problem. Weights that it changes are the list's
+    /// The answer to the task that is out; none if it was no sound problem. Weights that it changes are the list's
     /// from now on.
-    pub fn planned(&mut self, now: Duration, task: Task, answer: Option<Answer>) {
+    pub fn planned(&mut self, now: Duration, answer: Option<Answer>) {
         self.now = now;
         let Some(planner) = &mut self.planner else { return };
         let joined = self.berths.iter().filter(|berth| berth.stage == Stage::Joined).count();
-        let lines = planner.answered(task, answer, joined);
+        let lines = planner.answered(answer, joined);
         for (server, steps) in &lines {
             // Somewhere to go if all others fail.
             self.list.plan(*server, self.scale.weight(f64::from((*steps).max(1))));
@@ -366,7 +367,7 @@
             return self.now;
         }
         let own = self.due.first().map_or(Duration::MAX, |(time, _)| *time);
-        let plan = self.planner.as_ref().map_or(Duration::MAX, |planner| planner.due);
+        let plan = self.planner.as_ref().map_or(Duration::MAX, Planner::next_due);
         self.pilot.next_due().min(own).min(plan)
     }
 
@@ -387,7 +388,7 @@
         self.pass_time(now);
         let servers = self.pilot.beliefs().0;
         let task = self.planner.as_mut().and_then(|planner| planner.task(now, servers));
-        self.effects.extend(task.map(|task| Effect::Solve(Box::new(task))));
+        self.effects.extend(task.map(Effect::Solve));
         self.pilot.queued(self.lines_waiting());
         let before = self.sums.decisions;
         while let Some(decision) = self.pilot.next_decision(now) {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -3,10 +3,11 @@
 //! and on which thread, is the host's matter; until there is an answer the last one stands.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use lockcroft::{Class, Kind, Known, Server, Terms, Zone};
-use lockcroft_solver::{Answer, Keeper, Learner, Look, Price, Prior, Problem};
+use lockcroft_solver::{Answer, Keeper, Learner, Look, Price, Problem};
 
 /// Evidence of a capacity loses half of its force in so many plans.
 const FADES_PLANS: f64 = 12.0;
@@ -32,16 +33,6 @@
     seconds: f64,
 }
 
-/// A class as the terms state it.
-#[derive(Clone)]
-struct Stated {
-    work: f64,
-    contract_time: f64,
-    earnings: f64,
-    zones: Vec<Zone>,
-    kinds: Option<Vec<usize>>,
-}
-
 pub struct Planner {
     every: Duration,
     /// Cores of a server before anything was learnt: of its kind, or of any.
@@ -49,11 +40,11 @@
     kinds: BTreeMap<Kind, f64>,
     crossing: f64,
     cold_share: f64,
-    warm_within: Duration,
     /// Lines a second and lines in the queue, for a line at one proxy.
     pace: f64,
     queue: f64,
-    classes: Vec<Stated>,
+    /// Classes as the terms state them, without demand; and kinds that they are bound to.
+    classes: Vec<(lockcroft_solver::Class, Option<Vec<Kind>>)>,
     learner: Learner,
     loads: BTreeMap<Server, f64>,
     seen: BTreeMap<Server, Seen>,
@@ -62,11 +53,11 @@
     counted: Vec<Vec<f64>>,
     keeper: Keeper,
     since: Duration,
-    pub due: Duration,
-    /// A task is out.
-    out: bool,
+    due: Duration,
+    /// The task that is being solved.
+    out: Option<Arc<Task>>,
     /// The last answer, its task, and the lines that it changed, for those who ask.
-    pub last: Option<(Task, Answer, usize)>,
+    pub last: Option<(Arc<Task>, Answer, usize)>,
 }
 
 impl Planner {
@@ -78,7 +69,7 @@
             let name = |what: &str| format!("classes.{class}.{what}");
             let seconds = |what: &str| terms.time(&name(what)).unwrap_or_default().as_secs_f64();
             let contract_time = seconds("contract_time_us");
-            Stated {
+            let class = lockcroft_solver::Class {
                 // What is not stated is taken for a tenth of the contract time.
                 work: terms
                     .time(&name("work_us"))
@@ -87,10 +78,12 @@
                 contract_time: contract_time.max(1e-6),
                 earnings: terms.number(&name("earnings")).unwrap_or(1.0),
                 zones: terms.positions(&name("only_zones"), "zones").unwrap_or_default(),
-                kinds: terms.positions(&name("only_kinds"), "kinds"),
-            }
+                servers: Vec::new(),
+                demand: Vec::new(),
+            };
+            (class, terms.positions(&name("only_kinds"), "kinds"))
         };
-        let classes: Vec<Stated> = (0..terms.count("classes")).map(stated).collect();
+        let classes: Vec<_> = (0..terms.count("classes")).map(stated).collect();
         let none = vec![vec![0.0; zones]; classes.len()];
         Some(Planner {
             every,
@@ -100,11 +93,10 @@
                 .collect(),
             crossing: terms.number("solver.crossing").unwrap_or(0.0),
             cold_share: terms.number("rules.cold_share").unwrap_or(1.0),
-            warm_within: terms.span("rules.warm_within_us"),
             pace: terms.limit("fleet.channel_lines_per_s"),
             queue: terms.limit("fleet.queue_most_lines"),
             classes,
-            learner: Learner::new(Prior { capacity: cores, fades: every.mul_f64(FADES_PLANS) }),
+            learner: Learner::new(every.mul_f64(FADES_PLANS)),
             loads: BTreeMap::new(),
             seen: BTreeMap::new(),
             demand: none.clone(),
@@ -112,7 +104,7 @@
             keeper: Keeper::default(),
             since: Duration::ZERO,
             due: every,
-            out: false,
+            out: None,
             last: None,
         })
     }
@@ -134,9 +126,14 @@
         self.counted[class][zone] += f64::from(visits);
     }
 
+    /// When [`Planner::task`] has to be asked; while one is out, its answer is waited for.
+    pub fn next_due(&self) -> Duration {
+        if self.out.is_some() { Duration::MAX } else { self.due }
+    }
+
     /// A task, if one is due and none is out.
-    pub fn task(&mut self, now: Duration, servers: &BTreeMap<Server, Known>) -> Option<Task> {
-        if now < self.due || self.out {
+    pub fn task(&mut self, now: Duration, servers: &BTreeMap<Server, Known>) -> Option<Arc<Task>> {
+        if now < self.next_due() {
             return None;
         }
         self.due = now + self.every;
@@ -146,8 +143,8 @@
         if self.demand.iter().flatten().sum::<f64>() <= 0.0 {
             return None;
         }
-        self.out = true;
-        Some(self.problem(now, servers))
+        self.out = Some(Arc::new(self.problem(now, servers)));
+        self.out.clone()
     }
 
     fn take_demand(&mut self, now: Duration) {
@@ -161,7 +158,7 @@
 
     fn take_looks(&mut self, now: Duration, servers: &BTreeMap<Server, Known>) {
         let (mut visits, mut work, mut contract) = (0.0, 0.0, 0.0);
-        for (class, demand) in self.classes.iter().zip(&self.demand) {
+        for ((class, _), demand) in self.classes.iter().zip(&self.demand) {
             let demand: f64 = demand.iter().sum();
             visits += demand;
             work += demand * class.work;
@@ -199,20 +196,17 @@
         let mut task = Task { problem: Problem::default(), servers: Vec::new() };
         let mut kinds = Vec::new();
         for (server, known) in servers {
-            let up = known.counter.is_some_and(|counter| counter > 1);
-            if known.barred() || !up || known.doubted_until > now {
+            if known.barred() || !known.up() || known.doubted_until > now {
                 continue;
             }
             let capacity = self.learner.estimate(now, *server, self.prior(known)).capacity;
-            let cold = known.warm_at.saturating_sub(now).as_secs_f64();
-            let grown = 1.0 - cold / self.warm_within.as_secs_f64().max(1e-3);
-            let warmth = self.cold_share + (1.0 - self.cold_share) * grown.clamp(0.0, 1.0);
+            let warmth = known.warmth(now, self.cold_share);
             task.servers.push(*server);
             kinds.push(known.listing.kind);
             let zone = known.listing.zone;
             task.problem.servers.push(lockcroft_solver::Server { zone, capacity, warmth, withdrawn: false });
         }
-        let places = |class: &Stated| match &class.kinds {
+        let places = |only: &Option<Vec<Kind>>| match only {
             Some(only) => (0..kinds.len()).filter(|place| only.contains(&kinds[*place])).collect(),
             None => Vec::new(),
         };
@@ -222,23 +216,19 @@
             .classes
             .iter()
             .zip(&self.demand)
-            .map(|(class, demand)| lockcroft_solver::Class {
-                work: class.work,
-                contract_time: class.contract_time,
-                earnings: class.earnings,
-                zones: class.zones.clone(),
-                servers: places(class),
+            .map(|((class, only), demand)| lockcroft_solver::Class {
+                servers: places(only),
                 demand: demand.clone(),
+                ..class.clone()
             })
             .collect();
         task
     }
 
-    /// Takes the answer to a task. Gives the lines of the list that change, in steps of the greatest
+    /// Takes the answer to the task that is out. Gives the lines of the list that change, in steps of the greatest
     /// weight; what lets in follows from [`Planner::let_in`].
-    pub fn answered(&mut self, task: Task, answer: Option<Answer>, proxies: usize) -> Vec<(Server, u32)> {
-        self.out = false;
-        let Some(answer) = answer else { return Vec::new() };
+    pub fn answered(&mut self, answer: Option<Answer>, proxies: usize) -> Vec<(Server, u32)> {
+        let (Some(task), Some(answer)) = (self.out.take(), answer) else { return Vec::new() };
         let proxies = proxies.max(1) as f64;
         let asked = |class: &lockcroft_solver::Class| class.demand.iter().sum::<f64>() * class.earnings;
         let earnings: f64 = task.problem.classes.iter().map(asked).sum();
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -17,7 +17,7 @@
         let joined = self.berths.iter().filter(|berth| berth.stage == Stage::Joined).count();
         let (servers, tables, _) = self.pilot.beliefs();
         let held = tables.iter().filter(|table| !table.released).count();
-        let up = servers.values().filter(|known| known.counter.is_some_and(|counter| counter > 1)).count();
+        let up = servers.values().filter(|known| known.up()).count();
         let micros = |quantile: f64| self.landed.value_at_quantile(quantile) as f64 / 1e3;
         let lines = [
             ("Name", "lockcroft".to_string()),
@@ -154,7 +154,7 @@
             server: self.list.name(server).into(),
             address: address.map_or("-".into(), |address| address.ip().to_string()),
             port: address.map_or(0, |address| address.port()),
-            running: known.counter.is_some_and(|counter| counter > 1),
+            running: known.up(),
             admin: drains | if gone { FORCED_MAINT } else { 0 },
             weight: self.scale.units(known.listing.weight),
             health: known.counter.unwrap_or(0),
@@ -300,7 +300,7 @@
         Listed::Draining => "DRAIN",
         Listed::Gone => "MAINT",
         Listed::Ready if known.counter.is_none() => "no check",
-        Listed::Ready if known.counter.is_some_and(|counter| counter > 1) => "UP",
+        Listed::Ready if known.up() => "UP",
         Listed::Ready => "DOWN",
     }
 }
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -202,7 +202,7 @@
             }
             Effect::Solve(task) => {
                 let answer = lockcroft_solver::solve(&task.problem).ok();
-                self.helm.planned(self.now, *task, answer);
+                self.helm.planned(self.now, answer);
             }
             Effect::Dial { proxy, stream, .. } if self.peers[proxy].away => {
                 self.helm.broken(self.now, proxy, stream, "refused");
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -9,6 +9,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft::{Finding, Proxy, Server};
@@ -32,7 +33,7 @@
     Probed { server: Server, finding: Finding, took: Duration },
     Connected { proxy: Proxy, stream: u64 },
     Broken { proxy: Proxy, stream: u64, why: String },
-    Planned { task: Box<Task>, answer: Option<Answer> },
+    Planned { answer: Option<Answer> },
     Answered { proxy: Proxy, stream: u64, texts: Vec<String> },
 }
 
@@ -123,7 +124,7 @@
     match news {
         News::Listed(roster) => helm.listed(now, SystemTime::now(), roster),
         News::Probed { server, finding, took } => helm.probed(now, server, finding, took),
-        News::Planned { task, answer } => helm.planned(now, *task, answer),
+        News::Planned { answer } => helm.planned(now, answer),
         News::Connected { proxy, stream } => helm.connected(now, proxy, stream),
         News::Broken { proxy, stream, why } => helm.broken(now, proxy, stream, &why),
         News::Answered { proxy, stream, texts } => {
@@ -152,21 +153,11 @@
 }
 
 /// Off the thread that decides; the last answer stands meanwhile.
-async fn solve(task: Box<Task>) -> News {
-    let given = task.clone();
-    let answer = tokio::task::spawn_blocking(move || lockcroft_solver::solve(&given.problem)).await;
-    let answer = match answer {
-        Ok(Ok(answer)) => Some(answer),
-        Ok(Err(fault)) => {
-            complain(&format!("no plan: {fault}"));
-            None
-        }
-        Err(fault) => {
-            complain(&format!("no plan: {fault}"));
-            None
-        }
-    };
-    News::Planned { task, answer }
+async fn solve(task: Arc<Task>) -> News {
+    let solved = tokio::task::spawn_blocking(move || lockcroft_solver::solve(&task.problem)).await;
+    let solved = solved.map_err(|e| e.to_string()).and_then(|solved| solved.map_err(|e| e.to_string()));
+    let answer = solved.inspect_err(|fault| complain(&format!("no plan: {fault}"))).ok();
+    News::Planned { answer }
 }
 
 /// Warns of something that concerns people rather than decisions.
--- a/crates/plans/src/picture.rs
+++ b/crates/plans/src/picture.rs
@@ -1,10 +1,9 @@
 //! Load against capacity, before and after: a bar for each server, those of a zone side by side.
 
-use lockcroft_solver::{Answer, loads};
+use lockcroft_solver::{Answer, Spread};
 use plotters::prelude::*;
 
 use crate::read::Named;
-use crate::tell::room;
 
 const HIGH: u32 = 420;
 /// A server has so many points at least, up to a picture of a width that can still be looked at.
@@ -19,7 +18,7 @@
 pub fn picture(named: &Named, answer: &Answer) -> Result<String, String> {
     let mut order: Vec<usize> = (0..named.servers.len()).collect();
     order.sort_by_key(|place| (named.problem.servers[*place].zone, *place));
-    let before = loads(&named.problem, &vec![1; named.servers.len()], &[]);
+    let before = Spread::new(&named.problem).loads(&vec![1; named.servers.len()], &[]);
     let wide = (order.len() as u32 * SERVER).clamp(WIDE[0], WIDE[1]);
     let mut out = String::new();
     {
@@ -40,7 +39,7 @@
 type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
 
 fn chart(area: &Area, title: &str, named: &Named, order: &[usize], loads: &[f64]) -> Result<(), String> {
-    let top = |place: usize| room(named, place).max(loads[place]);
+    let top = |place: usize| named.problem.servers[place].room().max(loads[place]);
     let most = order.iter().map(|place| top(*place)).fold(0.0, f64::max).max(1e-9);
     let mut chart = ChartBuilder::on(area)
         .caption(title, ("sans-serif", 18))
@@ -56,7 +55,7 @@
     let mut mesh = chart.configure_mesh();
     mesh.disable_x_mesh().y_desc("cores").x_label_formatter(&zone_at).draw().map_err(told)?;
     let bars = order.iter().enumerate().flat_map(|(at, place)| {
-        let (left, room, load) = (at as f64, room(named, *place), loads[*place]);
+        let (left, room, load) = (at as f64, named.problem.servers[*place].room(), loads[*place]);
         let fill = if load > room { RED.mix(0.7) } else { BLUE.mix(0.6) };
         [
             Rectangle::new([(left + 0.15, 0.0), (left + 0.85, load)], fill.filled()),
--- a/crates/plans/src/tell.rs
+++ b/crates/plans/src/tell.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 
-use lockcroft_solver::{Answer, Dropped, loads};
+use lockcroft_solver::{Answer, Dropped, Spread};
 use serde_json::{Value, json};
 
 use crate::read::Named;
@@ -33,14 +33,14 @@
             writeln!(out, "class {}: {:.1}% let in", named.classes[class], let_in * 100.0)?;
         }
         answer.dropped.iter().try_for_each(|dropped| self.dropped(dropped, out))?;
-        let alike = loads(&named.problem, &vec![1; named.servers.len()], &[]);
+        let alike = Spread::new(&named.problem).loads(&vec![1; named.servers.len()], &[]);
         writeln!(
             out,
             "{:24} {:>10} {:>6} {:>6} {:>10} {:>12}",
             "server", "cores now", "weight", "load", "used", "used alike"
         )?;
         for (place, name) in named.servers.iter().enumerate() {
-            let room = room(named, place);
+            let room = named.problem.servers[place].room();
             let share =
                 |load: f64| if room > 0.0 { format!("{:.0}%", load / room * 100.0) } else { "-".into() };
             writeln!(
@@ -73,18 +73,12 @@
     }
 }
 
-/// Cores of a server now.
-pub(crate) fn room(named: &Named, place: usize) -> f64 {
-    let server = &named.problem.servers[place];
-    if server.withdrawn { 0.0 } else { server.capacity * server.warmth }
-}
-
 /// The same for programs; tables by class and zone of the proxies.
 pub fn json(named: &Named, answer: &Answer) -> Value {
     let Named { zones, servers, classes, .. } = named;
     let part = answer.objective;
     let server = |place: usize| {
-        json!({"name": servers[place], "cores": room(named, place), "weight": answer.weights[place],
+        json!({"name": servers[place], "cores": named.problem.servers[place].room(), "weight": answer.weights[place],
             "load": answer.loads[place]})
     };
     let dropped = |dropped: &Dropped| {
--- a/crates/proxy/src/held.rs
+++ b/crates/proxy/src/held.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lockcroft_runtime::sheets::Digest;
+use lockcroft_runtime::sheets::{Digest, class_variable};
 use nanorand::WyRand;
 
 use crate::choose::{Chooser, Way};
@@ -349,7 +349,7 @@
     }
 
     fn var(&self, what: &str, class: &str) -> Option<i64> {
-        self.vars.get(&format!("proc.{what}_{}", class.replace('-', "_"))).copied()
+        self.vars.get(&class_variable(what, class)).copied()
     }
 
     /// The line for the next try: open, not shunned, with room, and not the one that was tried
--- a/crates/proxy/src/post.rs
+++ b/crates/proxy/src/post.rs
@@ -149,10 +149,7 @@
         self.limits.way = number(part("choosing"), "way").unwrap_or_default();
         self.seed = number(part("choosing"), "seed").unwrap_or(self.seed);
         self.second_share = number(part("tries"), "second-share").unwrap_or(self.second_share);
-        self.log = LogTerms {
-            json: part("log").and_then(|node| node.attribute("form")) == Some("json"),
-            levels: part("log").and_then(|node| node.attribute("levels")).map(String::from),
-        };
+        self.log = LogTerms::read(part("log"));
     }
 }
 
--- a/crates/rehearsal/src/wire.rs
+++ b/crates/rehearsal/src/wire.rs
@@ -76,9 +76,9 @@
 /// One stream through the wire.
 struct Talk<'a> {
     wire: &'a Wire,
-    /// Commands whose answers are still to come, each with the number of orders of its line that are
-    /// to come up to it; 0 ends a line, and is so for what is no order.
-    asked: VecDeque<(String, usize)>,
+    /// Commands whose answers are still to come, orders with the number of those that come behind them
+    /// in their line.
+    asked: VecDeque<(String, Option<usize>)>,
     /// Orders of a line that were answered so far.
     set: Vec<(String, String)>,
     /// Orders of a set that is being prepared; they take effect with its commit.
@@ -133,8 +133,9 @@
         }
         let mut left = orders;
         for command in &commands {
-            left -= usize::from(changes(command));
-            self.asked.push_back((command.text(), left));
+            let order = changes(command);
+            left -= usize::from(order);
+            self.asked.push_back((command.text(), order.then_some(left)));
         }
         let stall = {
             let mut stall = self.wire.stall.lock().unwrap_or_else(PoisonError::into_inner);
@@ -162,9 +163,7 @@
     fn answered(&mut self) {
         while let Some(answer) = self.answers.next_answer() {
             let Some((command, left)) = self.asked.pop_front() else { return };
-            if !split(&command).first().is_some_and(changes) {
-                continue;
-            }
+            let Some(left) = left else { continue };
             let answer = answer.trim().to_string();
             if command == "prepare map tables" {
                 self.prepared = answer.starts_with("New version").then(Vec::new);
--- a/crates/runtime/src/sheets.rs
+++ b/crates/runtime/src/sheets.rs
@@ -220,6 +220,12 @@
     lines.enumerate().map(row).collect()
 }
 
+/// The variable that holds something of a class at a proxy, as `proc.level_look_up`: the guide's names
+/// have no dashes.
+pub fn class_variable(what: &str, class: &str) -> String {
+    format!("proc.{what}_{}", class.replace('-', "_"))
+}
+
 /// What two sides hold, as one number that they can compare: `get var proc.digest`. Lines go in by
 /// backend and server, then the entries of the map by class, then variables by name, each in the order
 /// of their names.
--- a/crates/solver/benches/solve.rs
+++ b/crates/solver/benches/solve.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use lockcroft_solver::{Class, Keeper, Price, Problem, Server, solve, value};
+use lockcroft_solver::{Class, Keeper, Price, Problem, Server, Spread, solve};
 
 /// Sizes double; places are spread by whole numbers, not by chance.
 fn problem(servers: usize, zones: usize, classes: usize) -> Problem {
@@ -98,8 +98,9 @@
             let answer = solve(&changed).expect("sound");
             keeper.clone().take(&changed, &numbers, &answer, price).len()
         });
-        let equal = value(&problem, &vec![1; servers], &answer.let_in);
-        let laid = value(&problem, &answer.weights, &answer.let_in);
+        let spread = Spread::new(&problem);
+        let equal = spread.value(&vec![1; servers], &answer.let_in);
+        let laid = spread.value(&answer.weights, &answer.let_in);
         println!(
             "{servers:6} servers {zones} zones {classes:2} classes: {took:10.1?} total {:10.1}, after one change \
              {again:10.1?} with {lines} lines; on-time earnings by weights {laid:.1}, by equal weights {equal:.1}; \
--- a/crates/solver/src/lateness.rs
+++ b/crates/solver/src/lateness.rs
@@ -43,7 +43,8 @@
     load * (late(load, steep) + EVEN * load)
 }
 
-/// Contract time over work, times the cores of a server of the group: of the class that asks most.
+/// Contract time over work, on average by the work that those who may come ask for, times the cores of
+/// a server of the group.
 pub fn steepness(problem: &Problem, group: &Group) -> f64 {
     let cores = group.servers.iter().map(|server| problem.servers[*server].capacity).sum::<f64>()
         / group.servers.len().max(1) as f64;
--- a/crates/solver/src/learn.rs
+++ b/crates/solver/src/learn.rs
@@ -6,15 +6,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// What is known before any report.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Prior {
-    /// Cores.
-    pub capacity: f64,
-    /// Evidence loses half of its force in this time: some report periods.
-    pub fades: Duration,
-}
-
 /// One server over one report period.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Look {
@@ -90,16 +81,17 @@
 
 #[derive(Clone, Debug)]
 pub struct Learner {
-    prior: Prior,
+    /// Evidence loses half of its force in this time: some report periods.
+    fades: Duration,
     shown: BTreeMap<usize, Shown>,
 }
 
 impl Learner {
-    pub fn new(prior: Prior) -> Self {
-        Learner { prior, shown: BTreeMap::new() }
+    pub fn new(fades: Duration) -> Self {
+        Learner { fades, shown: BTreeMap::new() }
     }
 
-    /// Takes a look at a server; `prior` is what the list says of it.
+    /// Takes a look at a server; `prior` are the cores that it is taken for before any report.
     pub fn look(&mut self, now: Duration, server: usize, prior: f64, look: Look) {
         let mut shown = self.aged(now, server, prior);
         if look.late {
@@ -137,7 +129,7 @@
         let most = prior * TOLD_WITHIN;
         let fresh = Shown { least: 0.0, most, told: None, at: now };
         let Some(shown) = self.shown.get(&server) else { return fresh };
-        let fades = self.prior.fades.as_secs_f64().max(f64::MIN_POSITIVE);
+        let fades = self.fades.as_secs_f64().max(f64::MIN_POSITIVE);
         let force = 0.5_f64.powf(now.saturating_sub(shown.at).as_secs_f64() / fades);
         let told = shown.told.map(|told| prior + (told - prior) * force);
         let least = shown.least * force;
@@ -145,9 +137,4 @@
         let bound = if force > 0.0 { (shown.most / force).min(most.max(shown.most)) } else { most };
         Shown { least, most: bound.max(least), told, at: shown.at }
     }
-
-    /// The capacity that is assumed of a server whose list says nothing.
-    pub fn prior(&self) -> f64 {
-        self.prior.capacity
-    }
 }
--- a/crates/solver/src/lib.rs
+++ b/crates/solver/src/lib.rs
@@ -15,8 +15,8 @@
 mod value;
 
 pub use answer::{Answer, Dropped, Objective, WEIGHT_STEPS};
-pub use learn::{Estimate, Learner, Look, Prior};
+pub use learn::{Estimate, Learner, Look};
 pub use problem::{Class, Fault, Problem, Server};
 pub use solve::solve;
 pub use steady::{Keeper, Price};
-pub use value::{loads, value};
+pub use value::Spread;
--- a/crates/solver/src/problem.rs
+++ b/crates/solver/src/problem.rs
@@ -15,6 +15,13 @@
     pub withdrawn: bool,
 }
 
+impl Server {
+    /// Cores that it has now.
+    pub fn room(&self) -> f64 {
+        if self.withdrawn { 0.0 } else { self.capacity * self.warmth }
+    }
+}
+
 /// A class of visits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -123,8 +130,7 @@
 
     /// Work that a server can do in a second now, in whole units.
     pub(crate) fn room(&self, server: usize) -> i64 {
-        let Server { capacity, warmth, withdrawn, .. } = self.servers[server];
-        if withdrawn { 0 } else { units(capacity * warmth) }
+        units(self.servers[server].room())
     }
 
     /// Work that a class asks for in a zone in a second, in whole units.
--- a/crates/solver/src/steady.rs
+++ b/crates/solver/src/steady.rs
@@ -6,7 +6,7 @@
 
 use crate::answer::{Answer, WEIGHT_STEPS};
 use crate::problem::Problem;
-use crate::value::{loads, value};
+use crate::value::Spread;
 
 /// What changing costs, from the stated price and pace of lines.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,17 +48,17 @@
         price: Price,
     ) -> Vec<(usize, u32)> {
         self.take_shares(&answer.let_in);
-        self.weights.retain(|number, _| numbers.contains(number));
         let new = self.scaled(numbers, &answer.weights);
         let held: Vec<Option<u32>> = numbers.iter().map(|number| self.weights.get(number).copied()).collect();
         // A server that was not known has to weigh something, whatever it costs; and all have if none was.
         let mut now: Vec<u32> = held.iter().zip(&new).map(|(held, new)| held.unwrap_or(*new)).collect();
         let mut changed: Vec<usize> =
             (0..now.len()).filter(|place| differs(now[*place], new[*place])).collect();
-        let (before, after) = (loads(problem, &now, &self.let_in), loads(problem, &new, &self.let_in));
+        let spread = Spread::new(problem);
+        let (before, after) = (spread.loads(&now, &self.let_in), spread.loads(&new, &self.let_in));
         let moved = |place: &usize| (after[*place] - before[*place]).abs();
         changed.sort_by(|a, b| moved(b).total_cmp(&moved(a)).then(a.cmp(b)));
-        changed.truncate(self.best(problem, &now, &new, &changed, price));
+        changed.truncate(self.best(&spread, &now, &new, &changed, price));
         changed.iter().for_each(|place| now[*place] = new[*place]);
         let lines = (0..now.len()).filter(|place| held[*place] != Some(now[*place]));
         let lines: Vec<_> = lines.map(|place| (numbers[place], now[place])).collect();
@@ -68,16 +68,16 @@
 
     /// How many of the changes gain most beyond what they cost; 0 if none does. Tried at one, two,
     /// four and so on, and at all.
-    fn best(&self, problem: &Problem, now: &[u32], new: &[u32], changed: &[usize], price: Price) -> usize {
+    fn best(&self, spread: &Spread, now: &[u32], new: &[u32], changed: &[usize], price: Price) -> usize {
         let all = changed.len().min(price.lines_most);
-        let before = value(problem, now, &self.let_in);
+        let before = spread.value(now, &self.let_in);
         let sizes = (0..).map(|power| 1_usize << power).take_while(|size| *size < all).chain([all]);
         let mut best = (0.0, 0);
         for size in sizes.filter(|size| *size > 0) {
             let mut tried = now.to_vec();
             changed[..size].iter().for_each(|place| tried[*place] = new[*place]);
             let gain =
-                (value(problem, &tried, &self.let_in) - before) * price.stands - price.line * size as f64;
+                (spread.value(&tried, &self.let_in) - before) * price.stands - price.line * size as f64;
             if gain > best.0 {
                 best = (gain, size);
             }
--- a/crates/solver/tests/steady.rs
+++ b/crates/solver/tests/steady.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lockcroft_solver::{Class, Keeper, Learner, Look, Price, Prior, Problem, Server, solve};
+use lockcroft_solver::{Class, Keeper, Learner, Look, Price, Problem, Server, solve};
 use proptest::prelude::*;
 
 const PRICE: Price = Price { line: 0.5, lines_most: 100, stands: 30.0 };
@@ -81,7 +81,7 @@
 }
 
 fn learner() -> Learner {
-    Learner::new(Prior { capacity: 2.0, fades: Duration::from_secs(30) })
+    Learner::new(Duration::from_secs(30))
 }
 
 fn secs(secs: u64) -> Duration {
--- a/crates/terms/src/post.rs
+++ b/crates/terms/src/post.rs
@@ -64,6 +64,16 @@
     pub levels: Option<String>,
 }
 
+impl LogTerms {
+    /// From the element `log`, if there is one.
+    pub fn read(node: Option<Node>) -> Self {
+        LogTerms {
+            json: node.and_then(|node| node.attribute("form")) == Some("json"),
+            levels: node.and_then(|node| node.attribute("levels")).map(String::from),
+        }
+    }
+}
+
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 const REDIAL: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(5)];
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -148,10 +158,7 @@
             seed: pilot.and_then(|node| node.attribute("seed")?.parse().ok()).unwrap_or(0),
             doors: self.doors(part("runtime")),
             roster: self.roster(part("roster-file"), part("roster"), &places),
-            log: LogTerms {
-                json: part("log").and_then(|node| node.attribute("form")) == Some("json"),
-                levels: part("log").and_then(|node| node.attribute("levels")).map(String::from),
-            },
+            log: LogTerms::read(part("log")),
             terms: std::mem::take(&mut self.terms),
             places,
             proxies,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -96,7 +96,7 @@
         self.recent.lateness(contract).max(if busy { WORSE * LATE } else { 0.0 })
     }
 
-    fn up(&self) -> bool {
+    pub fn up(&self) -> bool {
         self.counter.is_some_and(|counter| counter >= RISE)
     }
 
@@ -116,7 +116,7 @@
     }
 
     /// The share of its work that it can surely do, growing evenly from the cold share.
-    fn warmth(&self, now: Duration, cold_share: f64) -> f64 {
+    pub fn warmth(&self, now: Duration, cold_share: f64) -> f64 {
         let left = self.warm_at.saturating_sub(now).as_secs_f64();
         let all = (self.warm_at - self.started).as_secs_f64().max(1e-6);
         1.0 - (1.0 - cold_share) * left / all
