--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `lockcroft` command: a daemon, its questions, and rehearsals.
 
+mod files;
 mod rehearse;
 mod solve;
 mod ways;
@@ -56,6 +57,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// Look into a folder of table files: what a generation holds, whether it is sound, what changed.
+    #[command(subcommand)]
+    Files(files::Files),
     /// Work out weights for a problem, and say what finds no room.
     #[command(after_help = "Examples:\n  lockcroft solve examples/problem.xml --picture load.svg\n  \
         lockcroft ask /run/lockcroft.sock show plan problem > now.xml && lockcroft solve now.xml")]
@@ -80,6 +84,7 @@
         Task::Proxy { file } => proxy(&file),
         Task::Check { file, json } => check(&file, json),
         Task::Ask { address, command, within, json } => ask_one(&address, &command, within, json),
+        Task::Files(files) => files.run(),
         Task::Solve { file, json, picture } => solve::solve(&file, json, picture.as_deref()),
         Task::Rehearse(rehearsal) => rehearsal.run(),
     }
--- a/crates/cli/tests/daemon/days.rs
+++ b/crates/cli/tests/daemon/days.rs
@@ -9,6 +9,10 @@
 use crate::help::PROGRAM;
 
 fn day(seconds: u32, troubles: &str) -> (Report, String) {
+    day_through("commands", seconds, troubles)
+}
+
+fn day_through(front: &str, seconds: u32, troubles: &str) -> (Report, String) {
     let text = format!(
         r#"<day length="{seconds}s" seed="5">
         <terms>
@@ -23,7 +27,7 @@
           <rules unserved-most="2s" drain-grace="3s" cold-share="0.3" warm-within="8s" cold-multiple="3" cold-span="2s"/>
         </terms>
         <endpoints kind="std" per-zone="3" cores="2" queue="40"/>
-        <relays per-zone="2" standing="3" shuns-for="3s" try-most="1500ms"/>
+        <relays front="{front}" per-zone="2" standing="3" shuns-for="3s" try-most="1500ms"/>
         <visits class="look" rate="30" work="30ms"/>
         <visits class="book" rate="15" work="40ms"/>
         {troubles}
@@ -138,3 +142,31 @@
     assert!(sent(5, 7) > 5, "it had its share");
     assert!(sent(11, 15) < sent(7, 11).max(10), "and lost it: {} then {}", sent(7, 11), sent(11, 15));
 }
+
+/// Half of the relays read files. A server dies while the pilot is killed, which starts again with the next epoch; one that
+/// reads is started anew, and another server drains.
+#[test]
+fn a_fleet_of_both_fronts_through_a_killed_pilot() {
+    let (report, log) = day_through(
+        "mixed",
+        20,
+        r#"<trouble at="7s" for="2s" kind="kill-pilot"/>
+           <trouble at="7.5s" for="4s" kind="lose" servers="a-2" notice="1s"/>
+           <trouble at="8s" kind="restart-relay" relay="r-a-2"/>
+           <trouble at="16s" kind="drain" servers="b-3"/>"#,
+    );
+    let laid = |wanted: &str| {
+        let count = |record: &&lockcroft_standin::Record| matches!(&record.what, What::Laid { relay, .. } if relay == wanted);
+        report.records.iter().filter(count).count()
+    };
+    assert!(laid("r-a-2") >= 4 && laid("r-b-2") >= 4, "{} and {}\n{log}", laid("r-a-2"), laid("r-b-2"));
+    assert_eq!((laid("r-a-1"), laid("r-b-1")), (0, 0), "those are ordered");
+    assert!(
+        !orders(&report).any(|(relay, order, _)| relay.ends_with("-2") && order.contains("server")),
+        "nobody who reads is ordered"
+    );
+    assert!(
+        log.contains("epoch of files taken epoch=1") && log.contains("epoch of files taken epoch=2"),
+        "{log}"
+    );
+}
--- a/crates/cli/tests/daemon/files.rs
+++ b/crates/cli/tests/daemon/files.rs
@@ -99,3 +99,74 @@
     assert_eq!(said.status.code(), Some(2));
     assert!(text(&said.stderr).contains("recent-calls (class 0: work 0)"), "{}", text(&said.stderr));
 }
+
+/// A folder of three generations with its key file.
+fn tables(house: &House) -> Vec<String> {
+    use std::os::unix::fs::PermissionsExt;
+    let (folder, keys) = (house.path("tables"), house.path("keys"));
+    std::fs::create_dir(&folder).expect("made");
+    std::fs::write(&keys, format!("k1 {}\n", "ab".repeat(32))).expect("written");
+    std::fs::set_permissions(&keys, std::fs::Permissions::from_mode(0o600)).expect("set");
+    let read = lockcroft_generations::read_keys(&keys).expect("sound");
+    let mut writer = lockcroft_generations::Writer::take(&folder, "north", read).expect("taken");
+    let keep = lockcroft_generations::Keep { generations: 8, earlier_epochs: false };
+    for weight in [64, 128, 256] {
+        let line =
+            lockcroft_tablefile::Line { address: "127.0.0.1:8101".parse().expect("an address"), weight };
+        let table = lockcroft_tablefile::Table { lines: [("e1".to_string(), line)].into() };
+        let bound = lockcroft_tablefile::Bound { table: 3, level: 500, again: true };
+        let group = lockcroft_tablefile::Group {
+            proxies: ["r1".to_string(), "r2".to_string()].into(),
+            bound: [("look-up".to_string(), bound)].into(),
+        };
+        let content = lockcroft_tablefile::Content {
+            tables: [(3, table)].into(),
+            groups: [(0, group)].into(),
+            withdrawn: ["e9".to_string()].into(),
+        };
+        writer.write(&content, keep).expect("written");
+    }
+    let path = |path: std::path::PathBuf| path.display().to_string();
+    vec![path(folder), "--keys".into(), path(keys)]
+}
+
+fn files(command: &str, place: &[String], more: &[&str]) -> (Option<i32>, String) {
+    let mut words = vec!["files", command];
+    words.extend(place.iter().map(String::as_str));
+    words.extend(more);
+    let said = run(&words);
+    (said.status.code(), text(&said.stdout) + &text(&said.stderr))
+}
+
+#[test]
+fn a_folder_of_tables_is_shown_checked_compared_and_put_back() {
+    let house = House::new();
+    let place = tables(&house);
+    let (code, shown) = files("show", &place, &[]);
+    assert_eq!(code, Some(0), "{shown}");
+    let wanted = "t3 e1 127.0.0.1:8101 weight 256\nlook-up t3 let in 0.5, second tries at r1,r2\nwithdrawn e9\nlaid by 0 proxies\n";
+    assert!(
+        shown.starts_with("generation e1g3 by north, sealed with k1") && shown.ends_with(wanted),
+        "{shown}"
+    );
+    let (_, diff) = files("diff", &place, &["e1g1", "e1g3"]);
+    assert_eq!(diff, "- t3 e1 127.0.0.1:8101 weight 64\n+ t3 e1 127.0.0.1:8101 weight 256\n1 lines differ\n");
+    let (code, json) = files("show", &place, &["--generation", "e1g2", "--json"]);
+    let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!((code, &json["lines"][0]), (Some(0), &"t3 e1 127.0.0.1:8101 weight 128".into()));
+    // One bit of the current one.
+    let table = house.path("tables/e1/g3/table-3");
+    let mut bytes = std::fs::read(&table).expect("there");
+    bytes[3] ^= 1;
+    std::fs::write(&table, bytes).expect("written");
+    let (code, said) = files("verify", &place, &[]);
+    assert_eq!(code, Some(1));
+    assert_eq!(said.lines().next(), Some("e1g3 (current) table-3: not as the manifest has it"), "{said}");
+    assert!(said.contains("e1g2 sound, sealed with k1"), "{said}");
+    assert_eq!(files("show", &place, &[]).0, Some(1), "nothing sound is current");
+    let (code, said) = files("back", &place, &["e1g2"]);
+    assert_eq!((code, said.starts_with("e1g2 is published as e2g1")), (Some(0), true), "{said}");
+    assert!(files("show", &place, &[]).1.contains("weight 128"));
+    let (code, said) = files("diff", &place, &["g1", "e1g3"]);
+    assert!(code == Some(2) && said.contains("e7g41 is one"), "{said}");
+}
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -8,6 +8,7 @@
 
 use hdrhistogram::Histogram;
 use lockcroft::{Decision, Finding, Pilot, Proxy, Server, TableNumber};
+use lockcroft_generations::Written;
 use lockcroft_naming::Places;
 use lockcroft_runtime::sheets::read_stat;
 use lockcroft_solver::Answer;
@@ -18,6 +19,7 @@
 use crate::berth::{Asked, Berth, Stage};
 use crate::book::{Book, Desk};
 use crate::events::Events;
+use crate::files::{FileFront, Publication, Report, Unwritten};
 use crate::list::{List, Word};
 use crate::planner::{Plan, Planner, Task};
 use crate::published::{Published, Scale};
@@ -48,6 +50,8 @@
         stream: u64,
         text: String,
     },
+    /// Write this as a generation, and tell [`Helm::written`].
+    Publish(Arc<Publication>),
     /// Solve this, off the thread that decides, and tell [`Helm::planned`].
     Solve(Arc<Task>),
     /// The stream is given up; nothing more is heard of it.
@@ -99,6 +103,7 @@
     pub(crate) queue_most: f64,
     pub(crate) wave: u64,
     pub(crate) planner: Option<Planner>,
+    pub(crate) files: FileFront,
     touched: BTreeSet<Proxy>,
     /// Joined proxies by the tables that they were put on.
     on: BTreeMap<TableNumber, BTreeSet<Proxy>>,
@@ -120,6 +125,8 @@
     /// Never: the histogram's bounds are constants.
     pub fn new(post: &Post, epoch: u64) -> Self {
         let berths: Vec<Berth> = post.proxies.iter().cloned().map(Berth::new).collect();
+        let readers = post.proxies.iter().enumerate().filter(|(_, at)| at.reads_files);
+        let readers = readers.map(|(proxy, at)| (proxy, at.name.clone()));
         let dial = |proxy| Effect::Dial { proxy, stream: 0, after: Duration::ZERO };
         Helm {
             pilot: Pilot::new(post.terms.clone(), post.seed),
@@ -127,6 +134,7 @@
             list: List::default(),
             published: Published::default(),
             effects: (0..berths.len()).map(dial).collect(),
+            files: FileFront::new(post.files.as_ref().map_or(0, |files| files.generations), readers),
             berths,
             events: Events::default(),
             scale: Scale { most: post.weight_most() },
@@ -213,6 +221,32 @@
         }
     }
 
+    /// How the writing of the generation that is out went.
+    pub fn written(&mut self, now: Duration, done: Result<Written, Unwritten>) {
+        self.now = now;
+        match self.files.written(now, done) {
+            Ok(Written { epoch, version, files, linked, bytes }) => {
+                debug!(target: "lockcroft::order", wave = self.wave, epoch, version, files, linked, bytes, "written");
+                let text =
+                    format!("files: e{epoch} g{version}, {files} written, {linked} linked, {bytes} bytes");
+                self.events.add(now, self.wave, &text);
+            }
+            Err(why) => {
+                warn!(target: "lockcroft::order", wave = self.wave, why, "not written");
+                self.events.add(now, self.wave, &format!("files: {why}"));
+            }
+        }
+    }
+
+    /// What a proxy that reads files told.
+    pub fn laid(&mut self, now: Duration, report: Report) {
+        self.now = now;
+        if let Some(text) = self.files.told(report) {
+            warn!(target: "lockcroft::input", wave = self.wave, text, "refused");
+            self.events.add(now, self.wave, &format!("files: {text}"));
+        }
+    }
+
     /// A stream stands: the proxy is asked what it holds before anything is ordered.
     pub fn connected(&mut self, now: Duration, proxy: Proxy, stream: u64) {
         self.now = now;
@@ -222,6 +256,8 @@
         let berth = &mut self.berths[proxy];
         (berth.stage, berth.since) = (Stage::Asking, now);
         // One that was known is asked first whether anything changed while it was away.
+        // What one that reads files holds changes without its stream, and is always asked anew.
+        berth.kept.take_if(|_| berth.at.reads_files);
         let (asks, text): (&[Asked], &str) = match berth.kept {
             Some(_) => (&[Asked::Digest], ASK_DIGEST),
             None => (&[Asked::States, Asked::Map], ASK_ALL),
@@ -332,10 +368,12 @@
         // Looks are spread over the period, so that the reports of a fleet come evenly.
         let share = (proxy as f64 * 0.618_034).fract();
         self.due.insert((now + self.report_period.mul_f64(share), Timer::Look(proxy, stream)));
-        for server in &self.published.withdrawn {
-            berth.book.withdraw(*server, now, self.wave);
+        if !berth.at.reads_files {
+            for server in &self.published.withdrawn {
+                berth.book.withdraw(*server, now, self.wave);
+            }
+            self.touched.insert(proxy);
         }
-        self.touched.insert(proxy);
         let (zone, rate) = (berth.at.zone, berth.at.rate);
         self.pilot.joined(now, proxy, zone, rate, fresh);
     }
@@ -374,17 +412,18 @@
         }
         let own = self.due.first().map_or(Duration::MAX, |(time, _)| *time);
         let plan = self.planner.as_ref().map_or(Duration::MAX, Planner::next_due);
-        self.pilot.next_due().min(own).min(plan)
+        self.pilot.next_due().min(own).min(plan).min(self.files.next_due())
     }
 
     /// Lines that wait for all proxies, or are on their way to one.
     pub fn lines_waiting(&self) -> usize {
-        self.berths.iter().map(|berth| berth.book.lines()).sum()
+        self.berths.iter().map(|berth| berth.book.lines()).sum::<usize>() + self.files.waiting()
     }
 
     /// Forgets the times of orders and the most lines that waited; the guide's `clear counters`.
     pub fn clear_counters(&mut self) {
         self.landed.reset();
+        self.files.laid.reset();
         self.sums.lines_waiting_most = 0;
     }
 
@@ -402,6 +441,14 @@
             self.carry_out(now, decision);
         }
         self.sums.lines_waiting_most = self.sums.lines_waiting_most.max(self.lines_waiting());
+        let desk = Desk {
+            published: &self.published,
+            list: &self.list,
+            classes: &self.places.classes,
+            scale: self.scale,
+        };
+        let publication = self.files.publication(now, &desk);
+        self.effects.extend(publication.map(Effect::Publish));
         self.send(now);
         if self.sums.decisions > before {
             self.wave += 1;
@@ -457,15 +504,20 @@
                     lines.remove(&server)
                 };
                 self.say_decided(now, &format!("t{table}: {} weighs {weight}", self.list.name(server)));
+                self.files.weigh(now, table, server);
                 self.each_on(table, |book| book.weigh(table, server, now, wave));
             }
             Decision::Bind { table, classes, proxy } => {
                 self.say_decided(now, &format!("t{table}: bind proxy {}", self.berths[proxy].at.name));
                 let Berth { stage, book, .. } = &mut self.berths[proxy];
                 if *stage == Stage::Joined {
-                    book.bind(table, &classes, &self.published, now, wave);
                     self.on.entry(table).or_default().insert(proxy);
-                    self.touched.insert(proxy);
+                    if self.files.has(proxy) {
+                        self.files.bind(now, proxy, table, &classes);
+                    } else {
+                        book.bind(table, &classes, &self.published, now, wave);
+                        self.touched.insert(proxy);
+                    }
                 }
             }
             Decision::Withdraw { server, withdrawn } => {
@@ -476,6 +528,7 @@
                     set.remove(&server)
                 };
                 self.say_decided(now, &format!("withdraw {}: {withdrawn}", self.list.name(server)));
+                self.files.withdraw(now, server);
                 self.each(|book| book.withdraw(server, now, wave));
             }
             Decision::Admit { table, class, share, second_try } => {
@@ -484,6 +537,7 @@
                 let name = &self.places.classes[class];
                 let again = if second_try { ", second tries" } else { "" };
                 self.say_decided(now, &format!("t{table}: {name} let in {share}{again}"));
+                self.files.admit(now, table, class);
                 self.each_on(table, |book| book.admit(table, class, now, wave));
             }
             Decision::Note { about, text } => {
@@ -501,7 +555,7 @@
 
     fn each(&mut self, mut act: impl FnMut(&mut Book)) {
         for (proxy, berth) in self.berths.iter_mut().enumerate() {
-            if berth.stage == Stage::Joined {
+            if berth.stage == Stage::Joined && !berth.at.reads_files {
                 act(&mut berth.book);
                 self.touched.insert(proxy);
             }
@@ -510,7 +564,7 @@
 
     /// Proxies on a table: of a large fleet few, which is why they are looked up and not sought.
     fn each_on(&mut self, table: TableNumber, mut act: impl FnMut(&mut Book)) {
-        for proxy in self.on.get(&table).into_iter().flatten() {
+        for proxy in self.on.get(&table).into_iter().flatten().filter(|proxy| !self.files.has(**proxy)) {
             act(&mut self.berths[*proxy].book);
             self.touched.insert(*proxy);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 mod berth;
 mod book;
 mod events;
+mod files;
 mod helm;
 mod list;
 mod planner;
@@ -15,6 +16,7 @@
 
 pub use berth::Stage;
 pub use events::Events;
+pub use files::{Publication, Report, Unwritten};
 pub use helm::{Effect, Helm};
 pub use list::{List, Word};
 pub use planner::Task;
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -8,6 +8,7 @@
 use lockcroft_solver::{Objective, Problem};
 
 use crate::berth::Stage;
+use crate::files::{FileFront, Report};
 use crate::helm::Helm;
 
 // Writing to a String cannot fail, so what `writeln` gives back is passed over below.
@@ -44,7 +45,30 @@
             ("OrderMsMost", format!("{:.1}", self.landed.max() as f64 / 1e3)),
             ("Wave", self.wave.to_string()),
         ];
-        lines.iter().fold(String::new(), |text, (name, value)| text + name + ": " + value + "\n")
+        let files = if self.files.is_used() { self.files_info() } else { Vec::new() };
+        lines
+            .iter()
+            .chain(&files)
+            .fold(String::new(), |text, (name, value)| text + name + ": " + value + "\n")
+    }
+
+    fn files_info(&self) -> Vec<(&'static str, String)> {
+        let FileFront { last, fenced, trouble, sums, laid, .. } = &self.files;
+        let micros = |quantile: f64| format!("{:.1}", laid.value_at_quantile(quantile) as f64 / 1e3);
+        let (epoch, version) = last.map_or((0, 0), |last| (last.epoch, last.version));
+        vec![
+            ("FilesEpoch", epoch.to_string()),
+            ("FilesVersion", version.to_string()),
+            ("FilesGenerations", sums.generations.to_string()),
+            ("FilesFailures", sums.failures.to_string()),
+            ("FilesWritten", sums.files.to_string()),
+            ("FilesBytes", sums.bytes.to_string()),
+            ("FilesFencedBy", fenced.map_or("-".into(), |epoch| epoch.to_string())),
+            ("FilesTrouble", trouble.clone().unwrap_or_else(|| "-".into())),
+            ("LaidMsP50", micros(0.5)),
+            ("LaidMsP99", micros(0.99)),
+            ("LaidMsMost", format!("{:.1}", laid.max() as f64 / 1e3)),
+        ]
     }
 
     /// The problem that was solved last, with the names of its servers.
@@ -204,10 +228,12 @@
 
     /// One line a proxy: its stream, tables, waiting lines and last answer.
     pub fn show_proxies(&self) -> String {
-        let mut text = "# name zone stage for_s tables lines_waiting last_answer_s breaks why\n".to_string();
-        for berth in &self.berths {
-            let tables: Vec<String> =
-                berth.book.tables().iter().map(|table: &TableNumber| format!("t{table}")).collect();
+        let mut text =
+            "# name zone stage for_s tables lines_waiting last_answer_s breaks front why\n".to_string();
+        for (proxy, berth) in self.berths.iter().enumerate() {
+            let files = self.files.report(proxy);
+            let tables = files.as_ref().map_or_else(|| berth.book.tables(), |(_, tables)| tables.clone());
+            let tables: Vec<String> = tables.iter().map(|table: &TableNumber| format!("t{table}")).collect();
             let tables = if tables.is_empty() { "-".into() } else { tables.join(",") };
             let ago = berth.last_answer.map(|at| self.now.saturating_sub(at).as_secs_f64());
             let ago = ago.map_or("-".into(), |ago| format!("{ago:.1}"));
@@ -218,9 +244,11 @@
             };
             let stood = self.now.saturating_sub(berth.since).as_secs_f64();
             let why = if berth.stage == Stage::Joined { "-" } else { &berth.why };
+            let (front, refused) =
+                files.map_or(("commands".into(), String::new()), |(report, _)| front_of(report));
             let _ = writeln!(
                 text,
-                "{} {} {stage} {stood:.1} {tables} {} {ago} {} {why}",
+                "{} {} {stage} {stood:.1} {tables} {} {ago} {} {front} {why}{refused}",
                 berth.at.name,
                 self.places.zones[berth.at.zone],
                 berth.book.lines(),
@@ -285,6 +313,15 @@
     }
 }
 
+/// What a proxy has laid, and what it refuses.
+fn front_of(report: &Report) -> (String, String) {
+    let laid =
+        report.laid.map_or("files:-".into(), |(epoch, version, _)| format!("files:e{epoch}g{version}"));
+    let refused = report.refused.as_ref();
+    let refused = refused.map(|(epoch, version, why)| format!(" refuses e{epoch} g{version}: {why}"));
+    (laid, refused.unwrap_or_default())
+}
+
 fn front((class, visits): (&String, &u64)) -> StatRow {
     StatRow {
         name: class.clone(),
--- a/crates/fleet/tests/orders/converge.rs
+++ b/crates/fleet/tests/orders/converge.rs
@@ -3,7 +3,7 @@
 use lockcroft::Listed;
 use proptest::prelude::*;
 
-use crate::stage::{Stage, ms};
+use crate::stage::{Disk, Stage, ms};
 
 #[derive(Clone, Debug)]
 enum Trouble {
@@ -12,6 +12,9 @@
     Silent(usize),
     Speaks(usize),
     Cut(usize),
+    Lags(usize),
+    Catches(usize),
+    Disk(Disk),
     Wait(u64),
 }
 
@@ -22,6 +25,9 @@
         (0..3_usize).prop_map(Trouble::Silent),
         (0..3_usize).prop_map(Trouble::Speaks),
         (0..3_usize).prop_map(Trouble::Cut),
+        (0..3_usize).prop_map(Trouble::Lags),
+        (0..3_usize).prop_map(Trouble::Catches),
+        prop_oneof![Just(Disk::Well), Just(Disk::Full), Just(Disk::Hangs)].prop_map(Trouble::Disk),
         (1..900_u64).prop_map(Trouble::Wait),
     ]
 }
@@ -31,7 +37,8 @@
 
     #[test]
     fn proxies_end_alike(troubles in proptest::collection::vec(trouble(), 0..40)) {
-        let mut stage = Stage::new(5, 3);
+        // Two of the three read files.
+        let mut stage = Stage::both_fronts(5, 3);
         let mut at = 4800;
         stage.run_to(at);
         for trouble in troubles {
@@ -41,6 +48,9 @@
                 Trouble::Silent(proxy) => stage.peers[proxy].silent = true,
                 Trouble::Speaks(proxy) => stage.peers[proxy].silent = false,
                 Trouble::Cut(proxy) => stage.cut(proxy),
+                Trouble::Lags(proxy) => stage.peers[proxy].lags = true,
+                Trouble::Catches(proxy) => stage.peers[proxy].lags = false,
+                Trouble::Disk(disk) => stage.disk = disk,
                 Trouble::Wait(millis) => {
                     at += millis;
                     stage.run_to(at);
@@ -48,7 +58,8 @@
             }
         }
         (0..5).for_each(|server| stage.state(server, if server == 3 { Listed::Draining } else { Listed::Ready }));
-        stage.peers.iter_mut().for_each(|peer| peer.silent = false);
+        stage.peers.iter_mut().for_each(|peer| (peer.silent, peer.lags) = (false, false));
+        stage.disk = Disk::Well;
         stage.run_to(at + 20_000);
         let wanted: Vec<(String, u32)> = [0, 1, 2, 4].map(|server| (format!("e{server}"), 256)).into();
         for proxy in 0..3 {
--- a/crates/fleet/tests/orders/main.rs
+++ b/crates/fleet/tests/orders/main.rs
@@ -1,6 +1,7 @@
 //! What proxies are told, and what they hold in the end, in the troubles that streams have.
 
 mod converge;
+mod files;
 mod plans;
 mod stage;
 mod troubles;
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -3,12 +3,15 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use lockcroft::{Finding, Listed, Server};
-use lockcroft_fleet::{Effect, Helm};
-use lockcroft_proxy::{Choice, Ending, Held, Limits, Orders, STANDING, Way};
+use lockcroft_fleet::{Effect, Helm, Publication, Report, Unwritten};
+use lockcroft_generations::{Mine, Written};
+use lockcroft_proxy::{Choice, Ending, FromFiles, Held, Limits, Orders, STANDING, Way};
 use lockcroft_runtime::{Answers, Feed, Level};
+use lockcroft_tablefile::Bound;
 use lockcroft_terms::{Document, Entry, Post, Roster, SCHEMA};
 
 pub fn ms(millis: u64) -> Duration {
@@ -37,6 +40,23 @@
     /// Streams can't be made.
     pub away: bool,
     answers: VecDeque<String>,
+    from: FromFiles,
+    reads_files: bool,
+    /// It reads files, and lays none of them for now; the last that it laid.
+    pub lags: bool,
+    laid: u64,
+}
+
+/// How the folder of generations fares.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Disk {
+    #[default]
+    Well,
+    Full,
+    /// Writes take until it is well again.
+    Hangs,
+    /// Another pilot has taken the folder over.
+    Fenced,
 }
 
 /// Visits a second at each proxy, what tries take by server, how many come to one that is fulfilled, and
@@ -57,6 +77,10 @@
     /// How probes end, where not well.
     pub findings: BTreeMap<Server, Finding>,
     pub trace: String,
+    pub disk: Disk,
+    /// What is being written, and what was written last with its version.
+    writing: Option<Arc<Publication>>,
+    pub current: Option<(u64, Arc<Publication>)>,
     visits: Visits,
     /// Dials that wait.
     later: VecDeque<(Duration, Effect)>,
@@ -68,27 +92,44 @@
     }
 
     pub fn with(servers: usize, proxies: usize, queue: usize) -> Self {
-        Stage::set(servers, proxies, queue, "", "", 1)
+        Stage::set(servers, proxies, queue, "", "", 1, false)
     }
 
     pub fn with_solver(servers: usize, proxies: usize, solver: &str) -> Self {
-        Stage::set(servers, proxies, 8000, solver, "", 1)
+        Stage::set(servers, proxies, 8000, solver, "", 1, false)
     }
 
     /// The one class may use servers of the second kind only.
     pub fn bound(servers: usize, proxies: usize, solver: &str) -> Self {
-        Stage::set(servers, proxies, 8000, solver, " only-kinds=\"odd\"", 1)
+        Stage::set(servers, proxies, 8000, solver, " only-kinds=\"odd\"", 1, false)
     }
 
     /// Servers and proxies stand in two zones by turns.
     pub fn two_zones(servers: usize, proxies: usize, solver: &str) -> Self {
-        Stage::set(servers, proxies, 8000, solver, "", 2)
+        Stage::set(servers, proxies, 8000, solver, "", 2, false)
+    }
+
+    /// Every second proxy, beginning with the first, reads files.
+    pub fn both_fronts(servers: usize, proxies: usize) -> Self {
+        let files = r#"<files folder="/nowhere" keys="none"/>"#;
+        Stage::set(servers, proxies, 8000, files, "", 1, true)
     }
 
-    fn set(servers: usize, proxies: usize, queue: usize, solver: &str, only: &str, zones: usize) -> Self {
+    fn set(
+        servers: usize,
+        proxies: usize,
+        queue: usize,
+        solver: &str,
+        only: &str,
+        zones: usize,
+        files: bool,
+    ) -> Self {
         let zone = |i: usize| ["north", "south"][i % zones];
+        let reads_files = |i: usize| files && i.is_multiple_of(2);
         let line = |i: usize| {
-            format!("<proxy name=\"r{i}\" zone=\"{}\" address=\"127.0.0.1:{}\"/>", zone(i), 1000 + i)
+            let front = if reads_files(i) { "files" } else { "commands" };
+            let (zone, port) = (zone(i), 1000 + i);
+            format!("<proxy name=\"r{i}\" zone=\"{zone}\" address=\"127.0.0.1:{port}\" front=\"{front}\"/>")
         };
         let lines: String = (0..proxies).map(line).collect();
         let text = SETTINGS.replace("{PROXIES}", &lines).replace("{QUEUE}", &queue.to_string());
@@ -112,6 +153,10 @@
             silent: false,
             away: false,
             answers: VecDeque::new(),
+            from: FromFiles::default(),
+            reads_files: reads_files(i),
+            lags: false,
+            laid: 0,
         };
         let mut stage = Stage {
             helm: Helm::new(&post, 0),
@@ -120,6 +165,9 @@
             roster: Roster { version: 0, entries },
             findings: BTreeMap::new(),
             trace: String::new(),
+            disk: Disk::default(),
+            writing: None,
+            current: None,
             visits: Visits::default(),
             later: VecDeque::new(),
         };
@@ -197,7 +245,7 @@
                     effect => self.carry_out(effect),
                 }
             }
-            let spoke = self.deliver();
+            let spoke = self.deliver() | self.write() | self.lay();
             if spoke {
                 continue;
             }
@@ -250,7 +298,53 @@
                 }
             }
             Effect::Close { proxy } => self.peers[proxy].stream = None,
+            Effect::Publish(publication) => {
+                assert!(self.writing.replace(publication).is_none(), "one generation at a time");
+            }
+        }
+    }
+
+    /// What is being written is through, unless the disk hangs; whether it was.
+    fn write(&mut self) -> bool {
+        if self.disk == Disk::Hangs {
+            return false;
+        }
+        let Some(publication) = self.writing.take() else { return false };
+        let version = self.current.as_ref().map_or(0, |(version, _)| *version) + 1;
+        let done = match self.disk {
+            Disk::Full => Err(Unwritten::Failed("no room".into())),
+            Disk::Fenced => Err(Unwritten::Fenced(2)),
+            _ => Ok(Written { epoch: 1, version, ..Written::default() }),
+        };
+        if done.is_ok() {
+            self.current = Some((version, publication));
+        }
+        self.helm.written(self.now, done);
+        true
+    }
+
+    /// Proxies that read files lay what is current; whether any did.
+    fn lay(&mut self) -> bool {
+        let Some((version, publication)) = self.current.clone() else { return false };
+        let (content, mut some) = (&publication.content, false);
+        let new = |peer: &Peer| peer.reads_files && !peer.lags && peer.laid < version;
+        for (proxy, peer) in self.peers.iter_mut().enumerate().filter(|(_, peer)| new(peer)) {
+            let name = format!("r{proxy}");
+            let group = content.group_of(&name).map(|number| content.groups[&number].clone());
+            let bound = group.unwrap_or_default().bound;
+            let table = |bound: &Bound| (bound.table, content.tables[&bound.table].clone());
+            let tables = bound.values().map(table).collect();
+            let mine = Mine { epoch: 1, version, bound, tables, withdrawn: content.withdrawn.clone() };
+            for command in peer.from.orders(&peer.held, &mine) {
+                peer.held.carry_out(&command).expect("an order that can be done");
+                writeln!(self.trace, "{:.1} {name} lays: {}", self.now.as_secs_f64(), command.text())
+                    .expect("a string takes all");
+            }
+            (peer.laid, some) = (version, true);
+            let laid = Some((1, version, self.now));
+            self.helm.laid(self.now, Report { proxy: name, laid, refused: None });
         }
+        some
     }
 
     /// Whether any proxy had something to say.
--- /dev/null
+++ b/crates/generations/src/find.rs
@@ -0,0 +1,46 @@
+//! A generation read whole, by those who are no proxy.
+
+use lockcroft_tablefile::{
+    Content, Keys, MANIFEST, MANIFEST_MOST, WITHDRAWN, Wrong, open, read_group, read_table, read_withdrawn,
+};
+
+use crate::layout::{Epoch, Layout, Version};
+use crate::reader::{member, read_most};
+
+/// All of a sound generation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Found {
+    pub content: Content,
+    pub pilot: String,
+    /// The key that vouches for it.
+    pub key: String,
+    /// Of all its files.
+    pub bytes: u64,
+}
+
+/// # Errors
+/// What of it is not sound.
+pub fn find(layout: &Layout, epoch: Epoch, version: Version, keys: &Keys) -> Result<Found, String> {
+    let folder = layout.generation(epoch, version);
+    let bytes = read_most(&folder.join(MANIFEST), MANIFEST_MOST)?;
+    let said = |wrong: Wrong| wrong.to_string();
+    let opened = open(&bytes, keys).map_err(said)?;
+    if (opened.epoch, opened.version) != (epoch, version) {
+        return Err(format!("a copy of epoch {}, version {}", opened.epoch, opened.version));
+    }
+    let mut content = Content::default();
+    let mut sum = bytes.len() as u64;
+    for name in opened.members.keys() {
+        let bytes = member(&folder, &opened, name)?;
+        sum += bytes.len() as u64;
+        if name == WITHDRAWN {
+            content.withdrawn = read_withdrawn(&bytes).map_err(said)?;
+        } else if let Some(number) = name.strip_prefix("group-").and_then(|number| number.parse().ok()) {
+            content.groups.insert(number, read_group(name, &bytes).map_err(said)?);
+        } else if name.starts_with("table-") {
+            let (number, table) = read_table(name, &bytes).map_err(said)?;
+            content.tables.insert(number, table);
+        }
+    }
+    Ok(Found { content, pilot: opened.pilot, key: opened.key, bytes: sum })
+}
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: one pilot on loopback sockets. Sockets and clocks stand here and nothing else; what
 //! happens becomes calls of [`lockcroft_fleet::Helm`], and its effects are carried out.
 
+mod files;
 mod logs;
 mod probes;
 mod roster;
@@ -13,7 +14,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft::{Finding, Proxy, Server};
-use lockcroft_fleet::{Effect, Helm, Task};
+use lockcroft_fleet::{Effect, Helm, Report, Task, Unwritten};
+use lockcroft_generations::Written;
 use lockcroft_runtime::{Address, Listener};
 use lockcroft_solver::Answer;
 use lockcroft_terms::{Post, Roster, RosterAt};
@@ -24,6 +26,7 @@
 
 pub use crate::logs::{Logs, start as start_logs};
 
+use crate::files::Press;
 use crate::station::Station;
 use crate::streams::Hand;
 
@@ -34,6 +37,8 @@
     Connected { proxy: Proxy, stream: u64 },
     Broken { proxy: Proxy, stream: u64, why: String },
     Planned { answer: Option<Answer> },
+    Written { done: Result<Written, Unwritten> },
+    Laid { reports: Vec<Report> },
     Answered { proxy: Proxy, stream: u64, texts: Vec<String> },
 }
 
@@ -70,6 +75,11 @@
         .enumerate()
         .map(|(proxy, at)| Hand::new(proxy, at.address.clone(), told.clone()))
         .collect();
+    let press = post.files.as_ref().map(|at| Press::start(at, &post.name, told.clone())).transpose()?;
+    if let Some(at) = &post.files {
+        let wall = SystemTime::now().checked_sub(start.elapsed()).unwrap_or(SystemTime::UNIX_EPOCH);
+        spawn_local(files::watch(at.folder.clone(), at.look_every, wall, told.clone()));
+    }
     match &post.roster {
         RosterAt::Here(roster) => {
             let _ = told.send(News::Listed(roster.clone())).await;
@@ -96,7 +106,7 @@
             batch.drain(..).for_each(|news| take_in(helm, start.elapsed(), news));
             helm.decide(start.elapsed())
         };
-        effects.into_iter().for_each(|effect| carry_out(effect, &hands, &told));
+        effects.into_iter().for_each(|effect| carry_out(effect, &hands, press.as_ref(), &told));
         // Streams get their turn before there is more for them.
         tokio::task::yield_now().await;
     }
@@ -125,6 +135,8 @@
         News::Listed(roster) => helm.listed(now, SystemTime::now(), roster),
         News::Probed { server, finding, took } => helm.probed(now, server, finding, took),
         News::Planned { answer } => helm.planned(now, answer),
+        News::Written { done } => helm.written(now, done),
+        News::Laid { reports } => reports.into_iter().for_each(|report| helm.laid(now, report)),
         News::Connected { proxy, stream } => helm.connected(now, proxy, stream),
         News::Broken { proxy, stream, why } => helm.broken(now, proxy, stream, &why),
         News::Answered { proxy, stream, texts } => {
@@ -133,7 +145,7 @@
     }
 }
 
-fn carry_out(effect: Effect, hands: &[Hand], told: &Told) {
+fn carry_out(effect: Effect, hands: &[Hand], press: Option<&Press>, told: &Told) {
     match effect {
         Effect::Probe { server, address } => {
             let told = told.clone();
@@ -146,6 +158,8 @@
             let told = told.clone();
             spawn_local(async move { drop(told.send(solve(task).await).await) });
         }
+        // Without a folder no proxy reads files, and nothing is given out for them.
+        Effect::Publish(publication) => press.into_iter().for_each(|press| press.write(publication.clone())),
         Effect::Dial { proxy, stream, after } => hands[proxy].dial(stream, after),
         Effect::Write { proxy, stream, text } => hands[proxy].write(stream, text),
         Effect::Close { proxy } => hands[proxy].close(),
--- a/crates/proxy/src/io/control.rs
+++ b/crates/proxy/src/io/control.rs
@@ -29,12 +29,7 @@
         while let Some(commands) =
             feed.next_line().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?
         {
-            let stall =
-                core.post.stall_a_line * commands.iter().filter(|command| changes(command)).count() as u32;
-            if !stall.is_zero() {
-                // Laying tables keeps such a proxy from everything else.
-                std::thread::sleep(stall);
-            }
+            core.stall(&commands);
             let mut out = String::new();
             let after = match core.own(&commands) {
                 Some(said) => {
@@ -56,7 +51,7 @@
 }
 
 /// Visits have their turn between the pieces of a set; other sets wait until this one is through.
-async fn carry_out(commands: Vec<Command>, orders: &mut Orders, core: &Core, out: &mut String) -> After {
+pub async fn carry_out(commands: Vec<Command>, orders: &mut Orders, core: &Core, out: &mut String) -> After {
     let count = commands.len();
     let _alone = if commands.iter().any(changes) { Some(core.laying.lock().await) } else { None };
     let mut laying = orders.begin(commands, &core.held());
--- a/crates/proxy/src/io/running.rs
+++ b/crates/proxy/src/io/running.rs
@@ -18,9 +18,10 @@
 
 use super::guard::Guard;
 use super::pool::Pool;
-use super::{control, forward};
+use super::{control, files, forward};
 use crate::budget::Budget;
 use crate::held::Held;
+use crate::orders::changes;
 use crate::post::ProxyPost;
 
 /// What all of a proxy's visits and orders share; on one thread, so that nobody waits for a lock.
@@ -47,6 +48,15 @@
         self.held.borrow_mut()
     }
 
+    /// Laying tables keeps such a proxy from everything else.
+    pub fn stall(&self, commands: &[Command]) {
+        let stall =
+            self.post.stall_a_line * commands.iter().filter(|command| changes(command)).count() as u32;
+        if !stall.is_zero() {
+            std::thread::sleep(stall);
+        }
+    }
+
     /// Until the proxy ends.
     pub async fn end(&self) {
         // The sender lives as long as this.
@@ -125,6 +135,10 @@
             tasks.push(spawn_local(control::listen(listener, core.clone())));
         }
         tasks.push(spawn_local(take_visits(listener, core.clone())));
+        if let Some(terms) = core.post.files.clone() {
+            let reader = files::reader(&core.post.name, &terms)?;
+            tasks.push(spawn_local(files::follow(core.clone(), terms, reader)));
+        }
         let tidied = core.clone();
         tasks.push(spawn_local(async move {
             loop {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choose;
 mod desk;
+mod files;
 mod held;
 mod io;
 mod orders;
@@ -13,8 +14,9 @@
 pub use budget::Budget;
 pub use choose::{Chooser, Draw, Way, Wheel};
 pub use desk::BACKENDS_MOST;
+pub use files::FromFiles;
 pub use held::{Backend, Choice, Chosen, Held, Limits, Line, STANDING, Tables};
 pub use io::{Proxy, serve};
 pub use orders::{Orders, changes};
-pub use post::{ProxyPost, SCHEMA};
+pub use post::{FilesTerms, ProxyPost, SCHEMA};
 pub use tries::{Ending, may_try_again};
--- a/crates/proxy/src/post.rs
+++ b/crates/proxy/src/post.rs
@@ -1,7 +1,7 @@
 //! What a proxy is told at its start.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use lockcroft_runtime::Address;
@@ -14,6 +14,8 @@
 /// The schema of a proxy's settings.
 pub const SCHEMA: &str = include_str!("../proxy.xsd");
 
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// A proxy's post.
 #[derive(Clone, Debug)]
 pub struct ProxyPost {
@@ -47,6 +49,17 @@
     /// Classes, with the patience of clients who do not tell theirs.
     pub classes: Vec<(String, Duration)>,
     pub standing: Vec<(String, SocketAddr)>,
+    /// Where it takes its tables from, if not from its control socket.
+    pub files: Option<FilesTerms>,
+}
+
+/// A folder of generations, as a proxy follows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FilesTerms {
+    pub folder: PathBuf,
+    pub keys: PathBuf,
+    /// It looks by itself so often, whatever file events tell.
+    pub look_every: Duration,
 }
 
 impl ProxyPost {
@@ -82,6 +95,7 @@
             stall_a_line: Duration::ZERO,
             classes,
             standing: Vec::new(),
+            files: None,
         }
     }
 
@@ -121,6 +135,13 @@
         }
         let mut post = ProxyPost::new(root.attribute("name").unwrap_or_default(), visits, control, classes);
         post.standing = standing;
+        let base = file.parent().unwrap_or(Path::new("."));
+        let place = |node: Node, name: &str| base.join(node.attribute(name).unwrap_or_default());
+        post.files = part("files").map(|node| FilesTerms {
+            folder: place(node, "folder"),
+            keys: place(node, "keys"),
+            look_every: time(Some(node), "look-every").unwrap_or(LOOK_EVERY),
+        });
         post.state(part);
         Ok(post)
     }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -51,6 +51,7 @@
 pub struct Relays {
     pub per_zone: usize,
     pub standing: usize,
+    pub front: Front,
     pub way: Option<Way>,
     pub shuns_for: Option<Duration>,
     pub try_most: Option<Duration>,
@@ -59,6 +60,32 @@
     pub waiting_most: Option<usize>,
 }
 
+/// How proxies are told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Front {
+    #[default]
+    Commands,
+    Files,
+    /// Every second one reads files.
+    Mixed,
+}
+
+impl Front {
+    /// The schema allows no other names.
+    pub fn named(name: &str) -> Self {
+        match name {
+            "files" => Front::Files,
+            "mixed" => Front::Mixed,
+            _ => Front::Commands,
+        }
+    }
+
+    /// Whether the proxy of this number reads files.
+    pub fn files(self, number: usize) -> bool {
+        self == Front::Files || self == Front::Mixed && number % 2 == 1
+    }
+}
+
 impl Relays {
     pub fn apply(&self, post: &mut ProxyPost) {
         post.limits.way = self.way.unwrap_or(post.limits.way);
@@ -137,6 +164,7 @@
         let relays = all("relays").next().map(|node| Relays {
             per_zone: number(node, "per-zone", 1.0) as usize,
             standing: number(node, "standing", 8.0) as usize,
+            front: node.attribute("front").map_or(Front::default(), Front::named),
             way: node.attribute("way").and_then(|way| way.parse().ok()),
             shuns_for: time(node, "shuns-for"),
             try_most: time(node, "try-most"),
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,6 +2,7 @@
 //! time. Judges the five rules from what passed on the sockets, never from the pilot's own word.
 
 mod day;
+mod folder;
 mod meter;
 mod pilot;
 mod play;
@@ -15,7 +16,7 @@
 mod ways;
 mod wire;
 
-pub use day::{Day, Trouble, TroubleKind};
+pub use day::{Day, Front, Trouble, TroubleKind};
 pub use meter::Load;
 pub use pilot::PilotProcess;
 pub use play::{Report, Summary, play};
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -68,7 +68,21 @@
         writeln!(out, "  visits that crossed zones: {crossing:.3}")?;
         writeln!(out, "  weights and levels changed, each 10 s: {changes:?}")?;
         writeln!(out, "{}", self.load)?;
-        for name in ["OrderMsP50", "OrderMsP99", "OrderMsMost", "LinesWaitingMost", "Lines", "Messages"] {
+        for name in [
+            "OrderMsP50",
+            "OrderMsP99",
+            "OrderMsMost",
+            "LinesWaitingMost",
+            "Lines",
+            "Messages",
+            "FilesGenerations",
+            "FilesFailures",
+            "FilesWritten",
+            "FilesBytes",
+            "LaidMsP50",
+            "LaidMsP99",
+            "LaidMsMost",
+        ] {
             let line = self.pilot.iter().find(|line| line.starts_with(&format!("{name}:")));
             line.map_or(Ok(()), |line| writeln!(out, "  {line}"))?;
         }
@@ -117,6 +131,7 @@
     let mut pilot = pilot.map_err(|e| format!("{}: {e}", program.display()))?;
     let meter = Meter::start(pilot.watch(), stage.tap.clone());
     let caller = Caller::new(stage.tap.clone());
+    let watching = tokio::spawn(stage.folder.clone().watch(stage.tap.clone()));
     call(day, &stage, &caller);
     for step in steps.iter().filter(|step| step.at < day.length) {
         tokio::time::sleep(step.at.saturating_sub(stage.tap.now())).await;
@@ -133,6 +148,7 @@
     let info = ask_pilot(&stage, "show info").await;
     let load = meter.read();
     let exit = pilot.end(Duration::from_secs(5));
+    watching.abort();
     let records = stage.tap.records();
     Ok(Report {
         verdicts: judge(&records, &stage.limits),
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -199,6 +199,9 @@
                 *waiting = waiting.saturating_sub(orders.len());
                 self.seen(at, relay, |seen| seen.set(orders));
             }
+            What::Laid { relay, set, tables, map, withdrawn } => {
+                self.seen(at, relay, |seen| seen.laid(*set, tables, map, withdrawn));
+            }
             What::Arrived { endpoint, relay, work, .. } => {
                 self.drained(at, endpoint, relay);
                 self.arrived_cold(at, endpoint, *work);
--- a/crates/rehearsal/src/seen.rs
+++ b/crates/rehearsal/src/seen.rs
@@ -1,6 +1,6 @@
 //! What each relay held, worked out again from the orders that passed on its socket.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A line as the orders left it: weight, and whether it is kept from visits.
@@ -21,6 +21,8 @@
     life: usize,
     version: u64,
     map: BTreeMap<String, String>,
+    /// Withdrawn by the pilot whose tables it holds, where it reads files.
+    withdrawn: BTreeSet<String>,
     open: usize,
     stalled: bool,
     /// Since when it follows a pilot: its stream stands and it takes orders.
@@ -33,7 +35,8 @@
         let line = |name: &String| (name.clone(), Line { weight: 256, barred: false });
         self.backends = BTreeMap::from([("standing".into(), servers.iter().map(line).collect())]);
         (self.version, self.life) = (0, self.past.len());
-        self.remember();
+        self.withdrawn.clear();
+        self.remember(true);
         self.map = classes.iter().map(|class| (class.clone(), "standing".into())).collect();
     }
 
@@ -57,17 +60,49 @@
         if orders.iter().all(|(_, answer)| done(answer)) {
             orders.iter().for_each(|(command, _)| self.carry_out(command));
             self.version += 1;
-            self.remember();
+            self.remember(false);
         }
     }
 
-    /// Backends that are not as they were last.
-    fn remember(&mut self) {
+    /// A generation of files; without an entry in the map the tables stay, and its withdrawals come to those before.
+    pub fn laid(
+        &mut self,
+        set: u64,
+        tables: &[(String, Vec<(String, u32)>)],
+        map: &[(String, String)],
+        withdrawn: &[String],
+    ) {
+        let mut barred: BTreeSet<String> = withdrawn.iter().cloned().collect();
+        if map.is_empty() {
+            barred.extend(self.withdrawn.iter().cloned());
+        } else {
+            self.withdrawn.clone_from(&barred);
+            self.backends.retain(|name, _| name == "standing");
+            for (name, lines) in tables {
+                let line = |(server, weight): &(String, u32)| {
+                    (server.clone(), Line { weight: *weight, barred: false })
+                };
+                self.backends.insert(name.clone(), lines.iter().map(line).collect());
+            }
+            self.map.extend(map.iter().cloned());
+        }
+        for (server, line) in self.backends.values_mut().flatten() {
+            line.barred = barred.contains(server);
+        }
+        if set > 0 {
+            self.version = set;
+            self.remember(true);
+        }
+    }
+
+    /// Backends that are not as they were last; all of them where lines without visits may have come or gone,
+    /// which makes a version too.
+    fn remember(&mut self, all: bool) {
         for (name, lines) in &self.backends {
             let open = lines.iter().filter(|(_, line)| line.weight > 0 && !line.barred);
             let open: Vec<String> = open.map(|(server, line)| format!("{server}={}", line.weight)).collect();
             let last = self.past[self.life..].iter().rev().find(|(past, ..)| past == name);
-            if self.version == 0 || last.is_none_or(|(_, _, lines)| *lines != open) {
+            if all || last.is_none_or(|(_, _, lines)| *lines != open) {
                 self.past.push((name.clone(), self.version, open));
             }
         }
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -12,7 +12,8 @@
 use lockcroft_terms::Post;
 use nanorand::{Rng, WyRand};
 
-use crate::day::Day;
+use crate::day::{Day, Front};
+use crate::folder::Folder;
 use crate::proxies::Hosts;
 use crate::roster::{Line, RosterFile};
 use crate::rules::Limits;
@@ -40,15 +41,16 @@
     pub post: Post,
     pub limits: Limits,
     pub tap: Tap,
+    pub folder: Folder,
 }
 
 /// A whole settings file from the day's terms.
-pub fn settings(day: &Day, socket: &Path, proxies: &str, roster: &str) -> String {
+pub fn settings(day: &Day, socket: &Path, files: &str, proxies: &str, roster: &str) -> String {
     let Day { seed, log, terms, .. } = day;
     format!(
         "<lockcroft>\n<pilot name=\"rehearsed\" seed=\"{seed}\"/>\n\
          <runtime><listen address=\"unix:{}\" level=\"admin\"/></runtime>\n<log levels=\"{log}\"/>\n\
-         {terms}<proxies>\n{proxies}</proxies>\n{roster}\n</lockcroft>\n",
+         {terms}{files}<proxies>\n{proxies}</proxies>\n{roster}\n</lockcroft>\n",
         socket.display()
     )
 }
@@ -61,7 +63,7 @@
     pub async fn build(day: &Day, folder: &Path, threads: usize) -> Result<Self, String> {
         let (socket, path) = (folder.join("pilot.sock"), folder.join("pilot.xml"));
         let io = |e: std::io::Error| e.to_string();
-        fs::write(&path, settings(day, &socket, "", "<roster/>")).map_err(io)?;
+        fs::write(&path, settings(day, &socket, "", "", "<roster/>")).map_err(io)?;
         let post = Post::open(&path).map_err(|faults| faults.to_string())?;
         let wheel = day.relays.way.unwrap_or_default() == Way::Wheel;
         let even = wheel && day.relays.outstanding_most.is_none();
@@ -86,6 +88,7 @@
             }
         }
         let hosts = Hosts::new(threads).map_err(io)?;
+        let files = Folder::make(folder).map_err(io)?;
         let patience = |i: usize| post.terms.span(&format!("classes.{i}.patience_us"));
         let classes = post.places.classes.iter().cloned().enumerate();
         let classes: Vec<_> = classes.map(|(i, name)| (name, patience(i))).collect();
@@ -111,11 +114,14 @@
                 proxy.limits = Shuns { shuns_after, ..proxy.limits };
                 let number = relays.len();
                 proxy.seed = number as u64;
+                let reads_files = day.relays.front.files(number);
+                proxy.files = reads_files.then(|| files.terms());
+                let front = if reads_files { "files" } else { "commands" };
                 proxy.visits = hosts.start(number, proxy.clone()).await.map_err(io)?;
                 standing(&proxy, &tap);
                 let wire = Wire::lay(&name, control, tap.clone()).await.map_err(io)?;
                 proxies += &format!(
-                    "<proxy name=\"{name}\" zone=\"{zone}\" address=\"{}\" visits-per-s=\"{share:.2}\"/>\n",
+                    "<proxy name=\"{name}\" zone=\"{zone}\" address=\"{}\" visits-per-s=\"{share:.2}\" front=\"{front}\"/>\n",
                     wire.address
                 );
                 let zone = zone.clone();
@@ -125,9 +131,21 @@
         let mut roster = RosterFile::new(folder.join("roster.xml"), lines, tap.clone());
         roster.write().map_err(io)?;
         let file = "<roster-file path=\"roster.xml\" look-every=\"100ms\"/>";
-        fs::write(&path, settings(day, &socket, &proxies, file)).map_err(io)?;
+        let parts = if day.relays.front == Front::Commands { String::new() } else { files.settings() };
+        fs::write(&path, settings(day, &socket, &parts, &proxies, file)).map_err(io)?;
         let post = Post::open(&path).map_err(|faults| faults.to_string())?;
-        Ok(Stage { hosts, endpoints, relays, roster, settings: path, socket, post, limits, tap })
+        Ok(Stage {
+            hosts,
+            endpoints,
+            relays,
+            roster,
+            settings: path,
+            socket,
+            post,
+            limits,
+            tap,
+            folder: files,
+        })
     }
 
     /// The proxy's process is gone, with its streams; a new one stands in its place, at its standing table.
@@ -135,6 +153,7 @@
     /// # Errors
     /// Its sockets can't be had again.
     pub async fn restart(&self, relay: &Relay) -> Result<(), String> {
+        let _quiet = self.folder.quiet.lock().await;
         self.hosts.stop(relay.number);
         let started = self.hosts.start(relay.number, relay.post.clone()).await;
         // Not before: what the old one was told until it ended is its own.
--- a/crates/rehearsal/src/ways.rs
+++ b/crates/rehearsal/src/ways.rs
@@ -6,7 +6,7 @@
 use lockcroft_terms::{Document, Fault, Faults};
 use roxmltree::{Document as Tree, Node};
 
-use crate::day::Day;
+use crate::day::{Day, Front};
 
 /// What differs from the day as it stands.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -19,6 +19,8 @@
     pub set: Vec<(String, String, String, String)>,
     /// Listed weights of endpoints by kind.
     pub weights: Vec<(String, f64)>,
+    /// How proxies are told, if not as the day has it.
+    pub front: Option<Front>,
 }
 
 /// Weights of a kind that a search tries.
@@ -48,6 +50,7 @@
                 without: words("without").map(String::from).collect(),
                 set: sound(set, &mut faults),
                 weights: sound(weights, &mut faults),
+                front: node.attribute("front").map(Front::named),
             });
         } else if node.has_tag_name("search") {
             let weights = words("weights").filter_map(|word| word.parse().ok()).collect();
@@ -106,6 +109,7 @@
     /// The way names what the day does not have.
     pub fn in_way(&self, way: &Variant) -> Result<Day, String> {
         let mut day = self.clone();
+        day.relays.front = way.front.unwrap_or(day.relays.front);
         for (kind, weight) in &way.weights {
             let mut like = day.endpoints.iter_mut().filter(|like| like.kind == *kind).peekable();
             like.peek().ok_or_else(|| format!("{}: no endpoints of kind {kind:?}", way.name))?;
--- a/crates/standin/src/tap.rs
+++ b/crates/standin/src/tap.rs
@@ -42,6 +42,15 @@
     Line { relay: String, commands: usize },
     /// A relay carried out a line of orders: commands with their answers.
     Set { relay: String, orders: Vec<(String, String)> },
+    /// A relay laid a generation of files as this set of its own, 0 if it changed nothing: tables with lines and
+    /// weights, class to table, and servers kept from visits. Without an entry in the map it kept its tables.
+    Laid {
+        relay: String,
+        set: u64,
+        tables: Vec<(String, Vec<(String, u32)>)>,
+        map: Vec<(String, String)>,
+        withdrawn: Vec<String>,
+    },
     /// The list as it was written for the pilots: names with `ready`, `draining` or `gone`, and the
     /// time of the last start.
     Listed { servers: Vec<(String, String, Option<Duration>)> },
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -9,7 +9,7 @@
 mod values;
 
 pub use document::{Document, Fault, Faults};
-pub use post::{Door, LogTerms, Post, ProxyAt, RosterAt};
+pub use post::{Door, FilesAt, LogTerms, Post, ProxyAt, RosterAt};
 pub use roster::{Entry, Roster};
 pub use values::span;
 
--- a/crates/terms/src/post.rs
+++ b/crates/terms/src/post.rs
@@ -26,6 +26,8 @@
     pub proxies: Vec<ProxyAt>,
     pub roster: RosterAt,
     pub log: LogTerms,
+    /// The folder for proxies that read files.
+    pub files: Option<FilesAt>,
     /// A command that a proxy leaves unanswered for so long breaks its stream.
     pub answer_within: Duration,
     /// The first wait before a broken stream is dialled anew, and the longest.
@@ -47,6 +49,20 @@
     pub address: Address,
     /// Visits a second that it usually has.
     pub rate: f64,
+    /// It takes its tables from files, and not from its control socket.
+    pub reads_files: bool,
+}
+
+/// Where tables are written as files.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FilesAt {
+    pub folder: PathBuf,
+    /// The file with the keys that seal generations.
+    pub keys: PathBuf,
+    /// So many generations stay.
+    pub generations: usize,
+    /// How often what proxies write back is looked at.
+    pub look_every: Duration,
 }
 
 /// Where the list of servers comes from.
@@ -76,6 +92,7 @@
 
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
 const REDIAL: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(5)];
+const GENERATIONS: usize = 8;
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
 impl Post {
@@ -148,7 +165,7 @@
         self.terms.0.entry("fleet.proxies".into()).or_insert(count);
         let places = Places::read(&self.terms);
         self.once(part("proxies"));
-        let proxies = proxies.into_iter().filter_map(|node| self.proxy(node, &places)).collect();
+        let proxies: Vec<_> = proxies.into_iter().filter_map(|node| self.proxy(node, &places)).collect();
         let time = |name: &str| pilot.and_then(|node| node.attribute(name)).and_then(|t| span(t).ok());
         let redial = [time("redial-least").unwrap_or(REDIAL[0]), time("redial-most").unwrap_or(REDIAL[1])];
         Post {
@@ -159,6 +176,7 @@
             doors: self.doors(part("runtime")),
             roster: self.roster(part("roster-file"), part("roster"), &places),
             log: LogTerms::read(part("log")),
+            files: self.files(part("files"), &proxies),
             terms: std::mem::take(&mut self.terms),
             places,
             proxies,
@@ -236,7 +254,10 @@
         let address = address.map_err(|wrong: String| self.document.fault(node, wrong, None));
         let rate = node.attribute("visits-per-s").map_or(1.0, |rate| rate.parse().unwrap_or(1.0));
         match (zone, address) {
-            (Ok(zone), Ok(address)) => Some(ProxyAt { name: text(node, "name"), zone, address, rate }),
+            (Ok(zone), Ok(address)) => {
+                let reads_files = node.attribute("front") == Some("files");
+                Some(ProxyAt { name: text(node, "name"), zone, address, rate, reads_files })
+            }
             (zone, address) => {
                 self.faults.extend(zone.err().into_iter().chain(address.err()));
                 None
@@ -244,6 +265,31 @@
         }
     }
 
+    fn files(&mut self, files: Option<Node>, proxies: &[ProxyAt]) -> Option<FilesAt> {
+        let Some(node) = files else {
+            if let Some(proxy) = proxies.iter().find(|proxy| proxy.reads_files) {
+                let wrong =
+                    format!("{}: front=\"files\", and no element files says where they are", proxy.name);
+                let root = self.document.tree();
+                self.faults.push(self.document.fault(
+                    root.root_element(),
+                    wrong,
+                    Some("an element files before proxies"),
+                ));
+            }
+            return None;
+        };
+        let base = self.document.file().parent().unwrap_or(Path::new("."));
+        let time = node.attribute("look-every").and_then(|time| span(time).ok());
+        let count = node.attribute("generations").and_then(|count| count.parse().ok());
+        Some(FilesAt {
+            folder: base.join(text(node, "folder")),
+            keys: base.join(text(node, "keys")),
+            generations: count.unwrap_or(GENERATIONS),
+            look_every: time.unwrap_or(LOOK_EVERY),
+        })
+    }
+
     fn doors(&mut self, runtime: Option<Node>) -> Vec<Door> {
         let mut doors = Vec::new();
         for node in members(runtime) {
