--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `lockcroft` command: a daemon, its questions, and rehearsals.
 
 mod files;
+mod memory;
 mod rehearse;
 mod solve;
 mod ways;
@@ -60,6 +61,9 @@
     /// Look into a folder of table files: what a generation holds, whether it is sound, what changed.
     #[command(subcommand)]
     Files(files::Files),
+    /// Look into the folder in which a pilot keeps what it learned.
+    #[command(subcommand)]
+    Memory(memory::Memory),
     /// Work out weights for a problem, and say what finds no room.
     #[command(after_help = "Examples:\n  lockcroft solve examples/problem.xml --picture load.svg\n  \
         lockcroft ask /run/lockcroft.sock show plan problem > now.xml && lockcroft solve now.xml")]
@@ -85,6 +89,7 @@
         Task::Check { file, json } => check(&file, json),
         Task::Ask { address, command, within, json } => ask_one(&address, &command, within, json),
         Task::Files(files) => files.run(),
+        Task::Memory(memory) => memory.run(),
         Task::Solve { file, json, picture } => solve::solve(&file, json, picture.as_deref()),
         Task::Rehearse(rehearsal) => rehearsal.run(),
     }
--- a/crates/cli/tests/daemon/sockets.rs
+++ b/crates/cli/tests/daemon/sockets.rs
@@ -143,3 +143,40 @@
     house.until("show info", |said| probes(said) > before);
     drop(deaf);
 }
+
+/// A pilot that is killed and started again has what it learned; its folder can be looked into at any time.
+#[test]
+fn a_pilot_keeps_what_it_learned() {
+    let house = House::new();
+    let text = std::fs::read_to_string(house.path("pilot.xml")).expect("there");
+    let text = text.replace("<proxies/>", "<memory folder=\"memory\"/><proxies/>");
+    std::fs::write(house.path("pilot.xml"), text).expect("written");
+    let mut pilot = house.pilot();
+    house.until("show memory", |said| said.contains("Entries: 3") && said.contains("Trouble: -"));
+    pilot.kill();
+    std::fs::write(house.path("roster.xml"), roster(&["e2"])).expect("written");
+    let folder = house.path("memory").display().to_string();
+    let shown = String::from_utf8_lossy(&run(&["memory", "show", &folder]).stdout).into_owned();
+    assert!(shown.contains("\"server\":\"e1\"") && shown.contains("3 entries"), "{shown}");
+    assert_eq!(run(&["memory", "verify", &folder]).status.code(), Some(0));
+    assert_eq!(run(&["memory", "compact", &folder]).status.code(), Some(0));
+    pilot.again().expect("started");
+    house.until("show info", |said| said.contains("Servers: 1"));
+    let held = run(&["memory", "compact", &folder]);
+    assert!(
+        held.status.code() == Some(1) && String::from_utf8_lossy(&held.stderr).contains("a pilot holds it")
+    );
+    let log = std::fs::read_to_string(house.path("pilot.log")).expect("there");
+    assert_eq!(log.matches("\"message\":\"recalled\"").count(), 2, "{log}");
+    pilot.kill();
+    // Of another fleet nothing is believed, and the pilot starts without.
+    std::fs::write(
+        house.path("pilot.xml"),
+        std::fs::read_to_string(house.path("pilot.xml")).expect("there").replace("look-up", "look-down"),
+    )
+    .expect("written");
+    pilot.again().expect("started");
+    house.until("show memory", |said| said.contains("No memory is set."));
+    let log = std::fs::read_to_string(house.path("pilot.log")).expect("there");
+    assert!(log.contains("started without memory") && log.contains("of a fleet with other zones"), "{log}");
+}
--- a/crates/fleet/benches/wave.rs
+++ b/crates/fleet/benches/wave.rs
@@ -65,7 +65,7 @@
                     helm.answered(now, proxy, stream, answer);
                 }
             }
-            Effect::Close { .. } | Effect::Solve(_) | Effect::Publish(_) => {}
+            Effect::Close { .. } | Effect::Solve(_) | Effect::Publish(_) | Effect::Remember(_) => {}
         }
     }
     (commands, bytes)
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, SystemTime};
 
 use hdrhistogram::Histogram;
-use lockcroft::{Decision, Finding, Pilot, Proxy, Server, TableNumber};
+use lockcroft::{Decision, Finding, Listed, Listing, Pilot, Proxy, Server, TableNumber};
 use lockcroft_generations::Written;
+use lockcroft_memory::{Entry, Recalled};
 use lockcroft_naming::Places;
 use lockcroft_runtime::sheets::read_stat;
 use lockcroft_solver::Answer;
@@ -21,6 +22,7 @@
 use crate::events::Events;
 use crate::files::{FileFront, Publication, Report, Unwritten};
 use crate::list::{List, Word};
+use crate::notes::Notes;
 use crate::planner::{Plan, Planner, Task};
 use crate::published::{Published, Scale};
 use crate::reports::{Counters, Told};
@@ -52,6 +54,8 @@
     },
     /// Write this as a generation, and tell [`Helm::written`].
     Publish(Arc<Publication>),
+    /// Keep this across restarts, off the thread that decides.
+    Remember(Vec<Entry>),
     /// Solve this, off the thread that decides, and tell [`Helm::planned`].
     Solve(Arc<Task>),
     /// The stream is given up; nothing more is heard of it.
@@ -60,6 +64,19 @@
     },
 }
 
+/// How the folder of what is kept across restarts fares.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    pub entries: usize,
+    pub bytes: usize,
+    /// Of the snapshot in use.
+    pub number: u64,
+    /// How long the last flush took.
+    pub flush: Duration,
+    /// Why nothing is kept for now.
+    pub trouble: Option<String>,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     /// Whether the oldest question of a stream was answered.
@@ -104,6 +121,10 @@
     pub(crate) wave: u64,
     pub(crate) planner: Option<Planner>,
     pub(crate) files: FileFront,
+    pub(crate) notes: Option<Notes>,
+    pub(crate) kept: Kept,
+    /// What was known before the start, until the first list says which servers there are.
+    recalled: Option<Recalled>,
     touched: BTreeSet<Proxy>,
     /// Joined proxies by the tables that they were put on.
     on: BTreeMap<TableNumber, BTreeSet<Proxy>>,
@@ -134,6 +155,9 @@
             list: List::default(),
             published: Published::default(),
             effects: (0..berths.len()).map(dial).collect(),
+            notes: None,
+            kept: Kept::default(),
+            recalled: None,
             files: FileFront::new(post.files.as_ref().map_or(0, |files| files.generations), readers),
             berths,
             events: Events::default(),
@@ -158,6 +182,45 @@
         }
     }
 
+    /// Takes over from before the start what is still good of it, and from now on gives out what is to be kept.
+    pub fn remember(&mut self, recalled: Recalled) {
+        self.notes = Some(Notes::new(self.epoch));
+        self.recalled = Some(recalled);
+    }
+
+    /// How what was to be kept fares.
+    pub fn kept(&mut self, kept: Kept) {
+        self.kept = kept;
+    }
+
+    /// Behind the first list: servers that went while nobody looked are named, and nothing is made less careful.
+    fn recall(&mut self, now: Duration, recalled: Recalled) {
+        let (servers, levels) = (recalled.servers.len(), recalled.levels.len());
+        for server in recalled.servers {
+            let (Ok(zone), Ok(kind)) = (self.places.zone(&server.zone), self.places.kind(&server.kind))
+            else {
+                continue;
+            };
+            let number = self.list.met(&server.name);
+            let state = if server.out { Listed::Gone } else { Listed::Ready };
+            let listing = Listing { server: number, zone, kind, state, weight: 0.0, age: None };
+            self.pilot.recalled(now, listing, server.relief, server.warming, server.doubted);
+        }
+        for (class, table, level) in recalled.levels {
+            if let Ok(class) = self.places.class(&class) {
+                self.pilot.recalled_level(class, table as TableNumber, level);
+            }
+        }
+        if let Some(planner) = &mut self.planner {
+            planner.recall(recalled.sizes.into_iter().map(|(name, cores)| (self.list.met(&name), cores)));
+        }
+        if servers + levels > 0 {
+            let text = format!("recalled: {servers} servers, {levels} levels");
+            info!(target: "lockcroft::input", wave = self.wave, servers, levels, "recalled");
+            self.events.add(now, self.wave, &text);
+        }
+    }
+
     /// The list of servers, read anew.
     pub fn listed(&mut self, now: Duration, wall: SystemTime, roster: Roster) {
         self.now = now;
@@ -167,6 +230,9 @@
         self.events.add(now, self.wave, &text);
         self.list.take(now, wall, roster);
         self.tell_list(now);
+        if let Some(recalled) = self.recalled.take() {
+            self.recall(now, recalled);
+        }
     }
 
     fn tell_list(&mut self, now: Duration) {
@@ -412,7 +478,8 @@
         }
         let own = self.due.first().map_or(Duration::MAX, |(time, _)| *time);
         let plan = self.planner.as_ref().map_or(Duration::MAX, Planner::next_due);
-        self.pilot.next_due().min(own).min(plan).min(self.files.next_due())
+        let notes = self.notes.as_ref().map_or(Duration::MAX, Notes::next_due);
+        self.pilot.next_due().min(own).min(plan).min(self.files.next_due()).min(notes)
     }
 
     /// Lines that wait for all proxies, or are on their way to one.
@@ -449,6 +516,7 @@
         };
         let publication = self.files.publication(now, &desk);
         self.effects.extend(publication.map(Effect::Publish));
+        self.take_notes(now);
         self.send(now);
         if self.sums.decisions > before {
             self.wave += 1;
@@ -456,6 +524,18 @@
         self.effects.drain(..).collect()
     }
 
+    fn take_notes(&mut self, now: Duration) {
+        let Some(notes) = &mut self.notes else { return };
+        let (servers, _, gates) = self.pilot.beliefs();
+        let mut entries = notes.slice(now, servers, gates, &self.list, &self.places);
+        if let Some(planner) = &mut self.planner {
+            entries.extend(notes.sizes(now, planner.sizes(now, servers), &self.list));
+        }
+        if !entries.is_empty() {
+            self.effects.push_back(Effect::Remember(entries));
+        }
+    }
+
     fn pass_time(&mut self, now: Duration) {
         while let Some((time, timer)) = self.due.first().copied().filter(|(time, _)| *time <= now) {
             self.due.remove(&(time, timer));
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -67,6 +67,10 @@
     /// Classes as the terms state them, without demand; and kinds that they are bound to.
     classes: Vec<(lockcroft_solver::Class, Option<Vec<Kind>>)>,
     learner: Learner,
+    /// Cores that servers had before the start.
+    recalled: BTreeMap<Server, f64>,
+    /// Whether sizes were learnt since they were asked for.
+    learnt: bool,
     loads: BTreeMap<Server, f64>,
     seen: BTreeMap<Server, Seen>,
     /// Visits a second by class and zone, and visits counted since the last plan.
@@ -124,6 +128,8 @@
             queue: terms.limit("fleet.queue_most_lines"),
             classes,
             learner: Learner::new(every.mul_f64(FADES_PLANS)),
+            recalled: BTreeMap::new(),
+            learnt: false,
             loads: BTreeMap::new(),
             seen: BTreeMap::new(),
             demand: none.clone(),
@@ -138,6 +144,24 @@
         })
     }
 
+    /// What servers turned out to have before the start: what they are taken for until they show more.
+    pub fn recall(&mut self, sizes: impl Iterator<Item = (Server, f64)>) {
+        self.recalled = sizes.collect();
+    }
+
+    /// Cores by server as learnt, if anything was since this was asked last.
+    pub fn sizes(&mut self, now: Duration, servers: &BTreeMap<Server, Known>) -> Vec<(Server, f64)> {
+        if !std::mem::take(&mut self.learnt) {
+            return Vec::new();
+        }
+        let alike = self.alike(now, servers);
+        let size = |(server, known): (&Server, &Known)| {
+            let estimate = self.learner.estimate(now, *server, self.prior(&alike, known));
+            estimate.age.map(|_| (*server, estimate.capacity))
+        };
+        servers.iter().filter_map(size).collect()
+    }
+
     /// The load that a server told a probe.
     pub fn probed(&mut self, server: Server, load: f64) {
         let was = self.loads.entry(server).or_insert(load);
@@ -217,6 +241,7 @@
             let prior = self.prior(&alike, known);
             self.learner.look(now, server, prior, look);
         }
+        self.learnt = true;
         self.learner.keep(|server| servers.contains_key(&server));
         self.loads.retain(|server, _| servers.contains_key(server));
     }
@@ -235,7 +260,8 @@
 
     fn prior(&self, alike: &BTreeMap<Kind, f64>, known: &Known) -> Prior {
         let kind = &known.listing.kind;
-        match (self.kinds.get(kind), alike.get(kind)) {
+        let shown = || self.recalled.get(&known.listing.server).or_else(|| alike.get(kind));
+        match (self.kinds.get(kind), shown()) {
             (Some(stated), _) => Prior::stated(*stated),
             (None, Some(shown)) => Prior::alike(*shown),
             (None, None) => Prior::guessed(self.cores),
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -9,7 +9,7 @@
 
 use crate::berth::Stage;
 use crate::files::{FileFront, Report};
-use crate::helm::Helm;
+use crate::helm::{Helm, Kept};
 
 // Writing to a String cannot fail, so what `writeln` gives back is passed over below.
 impl Helm {
@@ -71,6 +71,21 @@
         ]
     }
 
+    /// What is kept across restarts, and how the folder fares.
+    pub fn show_memory(&self) -> String {
+        let Some(notes) = &self.notes else { return "No memory is set.\n".into() };
+        let Kept { entries, bytes, number, flush, trouble } = &self.kept;
+        let lines = [
+            ("Entries", entries.to_string()),
+            ("Bytes", bytes.to_string()),
+            ("Snapshot", number.to_string()),
+            ("Told", notes.kept.to_string()),
+            ("FlushMs", format!("{:.1}", flush.as_secs_f64() * 1e3)),
+            ("Trouble", trouble.clone().unwrap_or_else(|| "-".into())),
+        ];
+        lines.iter().fold(String::new(), |text, (name, value)| text + name + ": " + value + "\n")
+    }
+
     /// The problem that was solved last, with the names of its servers.
     pub fn plan(&self) -> Option<(&Problem, Vec<String>)> {
         let (task, ..) = self.planner.as_ref()?.last.as_ref()?;
--- a/crates/fleet/tests/orders/main.rs
+++ b/crates/fleet/tests/orders/main.rs
@@ -2,6 +2,7 @@
 
 mod converge;
 mod files;
+mod memory;
 mod plans;
 mod stage;
 mod troubles;
--- /dev/null
+++ b/crates/fleet/tests/orders/memory.rs
@@ -0,0 +1,117 @@
+//! A pilot that comes back: what was given out to be kept, aged, is what the next one begins with.
+
+use lockcroft::{Finding, Listed};
+use lockcroft_memory::{Key, Recalled, Rules, State, What, age};
+
+use crate::stage::{Stage, ms};
+
+/// What a pilot's folder holds after it.
+fn kept(stage: &Stage) -> State {
+    stage.kept.iter().map(|entry| (entry.key.clone(), (entry.at_ms, entry.what.clone()))).collect()
+}
+
+fn recalled(state: &State, at_ms: u64) -> Recalled {
+    age(state, at_ms, &Rules { report_period: ms(1000), warm_within: ms(10_000) })
+}
+
+/// A pilot that remembers, and then sees the list.
+fn again(mut stage: Stage, recalled: Recalled) -> Stage {
+    stage.helm.remember(recalled);
+    stage.list();
+    stage
+}
+
+#[test]
+fn what_is_kept_is_told_once() {
+    let mut stage = again(Stage::unlisted(3, 1), Recalled::default());
+    stage.run_to(8000);
+    let told = stage.kept.len();
+    assert!(stage.kept.iter().any(|entry| entry.key == Key::Server("e1".into())));
+    stage.run_to(20_000);
+    assert_eq!(stage.kept.len(), told, "nothing changed, nothing is told: {:?}", stage.kept.last());
+    stage.state(1, Listed::Draining);
+    stage.run_to(21_000);
+    let last = stage.kept.last().expect("told");
+    assert!(matches!(&last.what, What::Server(note) if note.draining), "{last:?}");
+    assert_eq!(stage.kept.len(), told + 1);
+}
+
+/// A server was taken off the list while the pilot was away. Proxies that stand on tables of before are kept from it
+/// from the first instant; without memory nobody could name it.
+#[test]
+fn a_server_that_went_meanwhile_is_named_at_once() {
+    let mut before = again(Stage::unlisted(3, 1), Recalled::default());
+    before.run_to(7000).state(1, Listed::Gone);
+    before.run_to(8000);
+    let state = kept(&before);
+    let after = |recalled: Recalled| {
+        let mut stage = Stage::unlisted(3, 1);
+        stage.roster.version = 1;
+        stage.roster.entries.remove(1);
+        let mut stage = again(stage, recalled);
+        stage.run_to(300);
+        stage.orders()
+    };
+    assert_eq!(after(Recalled::default()), "");
+    assert_eq!(after(recalled(&state, 9000)), "0.0 r0: set server standing/e1 state maint\n");
+    // A day later nobody holds it any more.
+    assert_eq!(after(recalled(&state, 9000 + 25 * 3_600_000)), "");
+}
+
+/// Late servers kept their relief, so that a restart in an overload does not bring their full weight back.
+#[test]
+fn relief_is_laid_as_remembered() {
+    let mut before = again(Stage::unlisted(4, 1), Recalled::default());
+    before.run_to(6000);
+    before.visits(100, &[ms(900), ms(100), ms(100), ms(100)], 1);
+    before.run_to(20_000);
+    let state = kept(&before);
+    let weight = |recalled: Recalled| {
+        let mut stage = again(Stage::unlisted(4, 1), recalled);
+        stage.run_to(6000);
+        stage.picks(0)[0].1
+    };
+    assert_eq!(weight(Recalled::default()), 256);
+    let remembered = weight(recalled(&state, 21_000));
+    assert!(remembered < 200, "{remembered}");
+    let later = weight(recalled(&state, 41_000));
+    assert!(later > remembered, "{later} after twenty report periods, {remembered} after one");
+    assert_eq!(weight(recalled(&state, 20_000 + 600_000)), 256, "ten minutes later it is forgotten");
+}
+
+/// A warm-up that the list says nothing of is gone on with.
+#[test]
+fn a_warm_up_goes_on_and_ends_as_it_would_have() {
+    let mut before = again(Stage::unlisted(2, 1), Recalled::default());
+    before.run_to(6000);
+    let wall = std::time::SystemTime::now();
+    before.roster.entries[1].started = Some(wall);
+    before.list();
+    before.run_to(6500);
+    let state = kept(&before);
+    let weight = |at_ms| {
+        let mut stage = again(Stage::unlisted(2, 1), recalled(&state, at_ms));
+        // Where nothing is heard of visits, a cold server gets nothing at all.
+        stage.visits(50, &[ms(50), ms(50)], 1);
+        stage.run_to(7500);
+        stage.picks(0).into_iter().find(|(name, _)| name == "e1").map_or(0, |(_, weight)| weight)
+    };
+    assert!((1..240).contains(&weight(6600)), "{}", weight(6600));
+    assert_eq!(weight(30_000), 256, "it ended while the pilot was away");
+}
+
+/// A memory from the future (the clock was set back) is not believed, but for names that cost nothing.
+#[test]
+fn a_clock_that_was_set_back_makes_nothing_worse() {
+    let mut before = again(Stage::unlisted(3, 1), Recalled::default());
+    before.findings.insert(0, Finding::Refused);
+    before.run_to(9000).state(1, Listed::Gone);
+    before.run_to(10_000);
+    let state = kept(&before);
+    let ahead = recalled(&state, 1);
+    assert!(ahead.ahead > 0 && ahead.levels.is_empty() && ahead.sizes.is_empty(), "{ahead:?}");
+    assert!(
+        ahead.servers.iter().all(|server| server.out && server.relief == 1.0 && server.warming.is_none()),
+        "{ahead:?}"
+    );
+}
--- a/crates/fleet/tests/orders/stage.rs
+++ b/crates/fleet/tests/orders/stage.rs
@@ -9,6 +9,7 @@
 use lockcroft::{Finding, Listed, Server};
 use lockcroft_fleet::{Effect, Helm, Publication, Report, Unwritten};
 use lockcroft_generations::{Mine, Written};
+use lockcroft_memory::Entry as Kept;
 use lockcroft_proxy::{Choice, Ending, FromFiles, Held, Limits, Orders, STANDING, Way};
 use lockcroft_runtime::{Answers, Feed, Level};
 use lockcroft_tablefile::Bound;
@@ -77,6 +78,8 @@
     /// How probes end, where not well.
     pub findings: BTreeMap<Server, Finding>,
     pub trace: String,
+    /// What was given out to be kept.
+    pub kept: Vec<Kept>,
     pub disk: Disk,
     /// What is being written, and what was written last with its version.
     writing: Option<Arc<Publication>>,
@@ -115,6 +118,11 @@
         Stage::set(servers, proxies, 8000, files, "", 1, true)
     }
 
+    /// Its pilot has not seen the list yet.
+    pub fn unlisted(servers: usize, proxies: usize) -> Self {
+        Stage::unlisted_as(servers, proxies, 8000, "", "", 1, false)
+    }
+
     fn set(
         servers: usize,
         proxies: usize,
@@ -123,6 +131,20 @@
         only: &str,
         zones: usize,
         files: bool,
+    ) -> Self {
+        let mut stage = Stage::unlisted_as(servers, proxies, queue, solver, only, zones, files);
+        stage.list();
+        stage
+    }
+
+    fn unlisted_as(
+        servers: usize,
+        proxies: usize,
+        queue: usize,
+        solver: &str,
+        only: &str,
+        zones: usize,
+        files: bool,
     ) -> Self {
         let zone = |i: usize| ["north", "south"][i % zones];
         let reads_files = |i: usize| files && i.is_multiple_of(2);
@@ -158,21 +180,20 @@
             lags: false,
             laid: 0,
         };
-        let mut stage = Stage {
+        Stage {
             helm: Helm::new(&post, 0),
             now: ms(0),
             peers: (0..proxies).map(peer).collect(),
             roster: Roster { version: 0, entries },
             findings: BTreeMap::new(),
             trace: String::new(),
+            kept: Vec::new(),
             disk: Disk::default(),
             writing: None,
             current: None,
             visits: Visits::default(),
             later: VecDeque::new(),
-        };
-        stage.list();
-        stage
+        }
     }
 
     /// From now on so many visits a second come to each proxy.
@@ -298,6 +319,7 @@
                 }
             }
             Effect::Close { proxy } => self.peers[proxy].stream = None,
+            Effect::Remember(entries) => self.kept.extend(entries),
             Effect::Publish(publication) => {
                 assert!(self.writing.replace(publication).is_none(), "one generation at a time");
             }
--- a/crates/generations/src/status.rs
+++ b/crates/generations/src/status.rs
@@ -1,10 +1,11 @@
-//! What proxies write back: a small file each, swapped whole.
+//! What proxies write back: a small file each, written over in place.
 
 use std::collections::BTreeMap;
-use std::fs;
-use std::io;
+use std::fs::{self, OpenOptions};
+use std::io::{self, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::Path;
+use std::time::Duration;
 
 use lockcroft_tablefile::proto::Status;
 use lockcroft_tablefile::read_status;
@@ -14,6 +15,8 @@
 
 /// Bytes of a status at most.
 const MOST: u64 = 64 << 10;
+/// Longer than a tick of any file system's clock.
+const TICK: Duration = Duration::from_millis(50);
 /// A proxy's name may have at most so many bytes, and none that leaves the folder.
 const NAME_MOST: usize = 128;
 
@@ -22,8 +25,7 @@
     (1..=NAME_MOST).contains(&name.len()) && name.chars().all(sign) && !name.starts_with('.')
 }
 
-/// Writes a proxy's status beside the last and swaps it in. It is no loss if the machine dies with it: the proxy
-/// reads its tables anew then.
+/// Writes a proxy's status over the last. It is no loss if the machine dies with it: the proxy reads its tables anew then.
 ///
 /// # Errors
 /// As the file system says, or the name is none for a file.
@@ -36,9 +38,17 @@
         return Err(io::Error::new(io::ErrorKind::InvalidInput, wrong));
     }
     let own = Layout::new(folder).status();
-    let (place, new) = (own.join(&status.proxy), own.join(format!(".{}.new", status.proxy)));
+    let place = own.join(&status.proxy);
     let bytes = lockcroft_tablefile::write_status(status);
-    let write = || fs::write(&new, &bytes).and_then(|()| fs::rename(&new, &place));
+    let write = || -> io::Result<()> {
+        // Not emptied before: it would be flushed with every write.
+        let mut file = OpenOptions::new().write(true).create(true).truncate(false).open(&place)?;
+        file.write_all(&bytes)?;
+        if file.metadata()?.len() != bytes.len() as u64 {
+            file.set_len(bytes.len() as u64)?;
+        }
+        Ok(())
+    };
     match write() {
         Err(error) if error.kind() == io::ErrorKind::NotFound => {
             fs::create_dir_all(&own)?;
@@ -51,7 +61,13 @@
 /// Reads the statuses of a folder's proxies, and only those that changed since the last look.
 #[derive(Default)]
 pub struct Statuses {
-    marks: BTreeMap<String, (u64, i64, i64)>,
+    seen: BTreeMap<String, Seen>,
+}
+
+/// What a proxy's file said, and its mark, once that can be told from the next.
+struct Seen {
+    mark: Option<(u64, i64, i64)>,
+    said: Status,
 }
 
 impl Statuses {
@@ -75,11 +91,18 @@
             // It may have been swapped since the folder was read.
             let Ok(about) = entry.metadata() else { continue };
             let mark = (about.ino(), about.mtime(), about.mtime_nsec());
-            if self.marks.insert(name.clone(), mark) == Some(mark) {
+            if self.seen.get(&name).is_some_and(|seen| seen.mark == Some(mark)) {
                 continue;
             }
             let read = read_most(&entry.path(), MOST).ok().and_then(|bytes| read_status(&bytes).ok());
-            changed.extend(read.filter(|status| status.proxy == name));
+            let Some(status) = read.filter(|status| status.proxy == name) else { continue };
+            // Two writes within a tick of the file system's clock bear the same time.
+            let settled = about.modified().ok().and_then(|at| at.elapsed().ok()).is_none_or(|age| age > TICK);
+            let seen = Seen { mark: settled.then_some(mark), said: status.clone() };
+            let before = self.seen.insert(name, seen);
+            if before.is_none_or(|before| before.said != status) {
+                changed.push(status);
+            }
         }
         changed.sort_by(|a, b| a.proxy.cmp(&b.proxy));
         Ok(changed)
--- a/crates/generations/src/writer.rs
+++ b/crates/generations/src/writer.rs
@@ -105,10 +105,16 @@
         self.begun += 1;
         let version = self.begun;
         let generation = seal(&self.pilot, self.epoch, version, content, &self.keys);
-        let written = self.lay(&generation).inspect_err(|_| {
-            // What is left of it is in nobody's way, and is tried to be taken away again.
-            let _ = fs::remove_dir_all(self.new_folder());
-        })?;
+        let written = match self.lay(&generation) {
+            Ok(written) => written,
+            Err(error) => {
+                // What is left of it is in nobody's way, and is tried to be taken away again.
+                let _ = fs::remove_dir_all(self.new_folder());
+                // Whoever took over may have taken this epoch's folder away: that is no trouble of the disk.
+                self.still_first()?;
+                return Err(error.into());
+            }
+        };
         self.version = version;
         self.last = generation.members.into_iter().map(|(name, member)| (name, member.digest)).collect();
         self.prune(keep);
--- a/crates/generations/tests/folder/follow.rs
+++ b/crates/generations/tests/folder/follow.rs
@@ -203,3 +203,28 @@
         assert!(write_status(folder.path(), &proto::Status::of(name)).is_err(), "{name:?}");
     }
 }
+
+/// A reader that is stopped while ten generations come and go, among them the one it is at, has the newest next; and
+/// no clock is asked for any of it.
+#[test]
+fn a_reader_that_was_stopped_for_ten_generations_goes_on_with_the_newest() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut writer = writer(folder.path());
+    let mut reader = reader(folder.path(), "r0");
+    writer.write(&content(1, 3), KEEP).expect("written");
+    assert_eq!(look(&mut reader).0, Some(1));
+    for stamp in 2..=11 {
+        writer.write(&content(stamp, 3), KEEP).expect("written");
+    }
+    assert!(!folder.path().join("e1/g1").exists() && folder.path().join("e1/g8").exists(), "four stay");
+    // The clock jumped back by years while the last was written, and forward before.
+    for (file, years) in [("g11/table-0", -20_i64), ("g11/manifest", -20), ("g10/manifest", 20)] {
+        let file =
+            std::fs::File::options().write(true).open(folder.path().join("e1").join(file)).expect("there");
+        let span = std::time::Duration::from_secs(years.unsigned_abs() * 31_557_600);
+        let now = std::time::SystemTime::now();
+        file.set_modified(if years < 0 { now - span } else { now + span }).expect("set");
+    }
+    assert_eq!(look(&mut reader), (Some(11), vec![]));
+    assert_eq!(look(&mut Reader::new(folder.path(), "r1", keys(), None)), (Some(11), vec![]));
+}
--- a/crates/generations/tests/folder/kills.rs
+++ b/crates/generations/tests/folder/kills.rs
@@ -6,6 +6,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use lockcroft_generations::WriteError;
+use rustix::process::{Pid, Signal, kill_process};
+
 use crate::stage::*;
 
 const READERS: usize = 50;
@@ -25,9 +28,9 @@
     }
 }
 
-fn start(folder: &Path) -> Child {
+fn spawn(part: &str, folder: &Path) -> Child {
     let mut command = Command::new(std::env::current_exe().expect("this program"));
-    command.args(["kills::writes_until_killed", "--exact", "--ignored", "--test-threads=1"]);
+    command.args([part, "--exact", "--ignored", "--test-threads=1"]);
     command.env(FOLDER, folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
     command.spawn().expect("started")
 }
@@ -65,7 +68,7 @@
         // The stops are spread over a writer's start and some generations of it.
         let mut draw = 12345_u64;
         for _ in 0..kills {
-            let mut child = start(folder.path());
+            let mut child = spawn("kills::writes_until_killed", folder.path());
             draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
             std::thread::sleep(Duration::from_micros(5_000 + (draw >> 33) % 30_000));
             child.kill().and_then(|()| child.wait()).expect("ended");
@@ -80,3 +83,45 @@
     println!("{kills} kills, {READERS} readers, {laid} generations laid, {torn} met torn");
     assert!(laid > kills && torn == 0, "{laid} laid, {torn} torn");
 }
+
+/// The child's part: writes until it is told that another has taken over.
+#[test]
+#[ignore = "run by the test below, in a process of its own"]
+fn writes_until_fenced() {
+    let Ok(folder) = std::env::var(FOLDER) else { return };
+    let mut writer = writer(Path::new(&folder));
+    for version in 1.. {
+        let stamp = (writer.epoch() * 1000 + version) as u32;
+        match writer.write(&content(stamp, 40), KEEP) {
+            Err(WriteError::Fenced(2)) => std::process::exit(42),
+            done => drop(done.expect("written")),
+        }
+    }
+}
+
+/// Two pilots on one folder: the first is stopped in the midst of its work, for long enough that the second takes over,
+/// and then goes on. Whatever it was at, its tables are laid by nobody, and it stops by itself and says so.
+#[test]
+fn a_writer_that_was_stopped_for_a_while_is_fenced_off() {
+    for round in 0..12_u64 {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut first = spawn("kills::writes_until_fenced", folder.path());
+        let pid = i32::try_from(first.id()).ok().and_then(Pid::from_raw).expect("a process");
+        let mut reader = reader(folder.path(), "r0");
+        let mut laid = None;
+        while laid.is_none() {
+            laid = look(&mut reader).0;
+        }
+        std::thread::sleep(Duration::from_micros(round * 733));
+        kill_process(pid, Signal::STOP).expect("stopped");
+        let mut second = writer(folder.path());
+        second.write(&content(2001, 40), KEEP).expect("written");
+        std::thread::sleep(Duration::from_millis(if round == 0 { 2000 } else { 20 }));
+        assert_eq!(look(&mut reader).0, Some(2001));
+        kill_process(pid, Signal::CONT).expect("goes on");
+        let ended = first.wait().expect("ended");
+        assert_eq!(ended.code(), Some(42), "it stops and says why");
+        assert_eq!(look(&mut reader), (None, vec![]), "nobody follows it any more");
+        assert_eq!(look(&mut crate::stage::reader(folder.path(), "r1")).0, Some(2001));
+    }
+}
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod files;
 mod logs;
+mod memory;
 mod probes;
 mod roster;
 mod station;
@@ -14,7 +15,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft::{Finding, Proxy, Server};
-use lockcroft_fleet::{Effect, Helm, Report, Task, Unwritten};
+use lockcroft_fleet::{Effect, Helm, Kept, Report, Task, Unwritten};
 use lockcroft_generations::Written;
 use lockcroft_runtime::{Address, Listener};
 use lockcroft_solver::Answer;
@@ -27,6 +28,7 @@
 pub use crate::logs::{Logs, start as start_logs};
 
 use crate::files::Press;
+use crate::memory::Keeper;
 use crate::station::Station;
 use crate::streams::Hand;
 
@@ -39,6 +41,7 @@
     Planned { answer: Option<Answer> },
     Written { done: Result<Written, Unwritten> },
     Laid { reports: Vec<Report> },
+    Kept(Kept),
     Answered { proxy: Proxy, stream: u64, texts: Vec<String> },
 }
 
@@ -75,6 +78,11 @@
         .enumerate()
         .map(|(proxy, at)| Hand::new(proxy, at.address.clone(), told.clone()))
         .collect();
+    let kept = post.memory.as_ref().and_then(|folder| memory::open(post, folder, told.clone()));
+    let keeper = kept.map(|(keeper, recalled)| {
+        station.borrow_mut().helm.remember(recalled);
+        keeper
+    });
     let press = post.files.as_ref().map(|at| Press::start(at, &post.name, told.clone())).transpose()?;
     if let Some(at) = &post.files {
         let wall = SystemTime::now().checked_sub(start.elapsed()).unwrap_or(SystemTime::UNIX_EPOCH);
@@ -106,7 +114,9 @@
             batch.drain(..).for_each(|news| take_in(helm, start.elapsed(), news));
             helm.decide(start.elapsed())
         };
-        effects.into_iter().for_each(|effect| carry_out(effect, &hands, press.as_ref(), &told));
+        effects
+            .into_iter()
+            .for_each(|effect| carry_out(effect, &hands, press.as_ref(), keeper.as_ref(), &told));
         // Streams get their turn before there is more for them.
         tokio::task::yield_now().await;
     }
@@ -136,6 +146,7 @@
         News::Probed { server, finding, took } => helm.probed(now, server, finding, took),
         News::Planned { answer } => helm.planned(now, answer),
         News::Written { done } => helm.written(now, done),
+        News::Kept(kept) => helm.kept(kept),
         News::Laid { reports } => reports.into_iter().for_each(|report| helm.laid(now, report)),
         News::Connected { proxy, stream } => helm.connected(now, proxy, stream),
         News::Broken { proxy, stream, why } => helm.broken(now, proxy, stream, &why),
@@ -145,7 +156,7 @@
     }
 }
 
-fn carry_out(effect: Effect, hands: &[Hand], press: Option<&Press>, told: &Told) {
+fn carry_out(effect: Effect, hands: &[Hand], press: Option<&Press>, keeper: Option<&Keeper>, told: &Told) {
     match effect {
         Effect::Probe { server, address } => {
             let told = told.clone();
@@ -160,6 +171,11 @@
         }
         // Without a folder no proxy reads files, and nothing is given out for them.
         Effect::Publish(publication) => press.into_iter().for_each(|press| press.write(publication.clone())),
+        Effect::Remember(entries) => {
+            if let Some(keeper) = keeper {
+                keeper.write(entries);
+            }
+        }
         Effect::Dial { proxy, stream, after } => hands[proxy].dial(stream, after),
         Effect::Write { proxy, stream, text } => hands[proxy].write(stream, text),
         Effect::Close { proxy } => hands[proxy].close(),
--- /dev/null
+++ b/crates/pilot/src/memory.rs
@@ -0,0 +1,113 @@
+//! The folder of what was learned: read once at the start, and written by a thread of its own.
+
+use std::path::Path;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::{Duration, Instant, SystemTime};
+
+use lockcroft::Terms;
+use lockcroft_fleet::Kept;
+use lockcroft_memory::{Entry, Folder, Loaded, Owner, Recalled, Rules, Store, Trouble, age};
+use lockcroft_terms::Post;
+use tracing::{info, warn};
+
+use crate::{News, Told, complain};
+
+/// What was learned is on disk after so long.
+const FLUSH_EVERY: Duration = Duration::from_millis(250);
+
+/// The inbox of the thread that writes.
+pub struct Keeper(Sender<Vec<Entry>>);
+
+/// Reads what there is, and begins to write. Without a memory that is sound and its own the pilot starts with none, and
+/// leaves the folder alone.
+pub fn open(post: &Post, folder: &Path, told: Told) -> Option<(Keeper, Recalled)> {
+    let begun = Instant::now();
+    let opened = Folder::hold(folder).map_err(Trouble::from);
+    let opened = opened.and_then(|disk| Store::open(disk, owner(post)));
+    let (store, loaded) = match opened {
+        Ok(opened) => opened,
+        Err(trouble) => {
+            complain(&format!(
+                "started without memory, which is left as it is: {}: {trouble}",
+                folder.display()
+            ));
+            return None;
+        }
+    };
+    let Loaded { state, remarks, from, bytes, .. } = loaded;
+    remarks.iter().for_each(|remark| warn!(target: "lockcroft::memory", "{remark}"));
+    let wall =
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let recalled = age(&state, wall, &rules(&post.terms));
+    info!(target: "lockcroft::memory", entries = state.len(), from, bytes, servers = recalled.servers.len(),
+        levels = recalled.levels.len(), ahead = recalled.ahead, us = begun.elapsed().as_micros() as u64, "recalled");
+    let (sender, inbox) = channel();
+    let work = move || keep(store, &inbox, &told);
+    std::thread::Builder::new().name("memory".into()).spawn(work).ok()?;
+    Some((Keeper(sender), recalled))
+}
+
+/// Whose memory it is.
+pub fn owner(post: &Post) -> Owner {
+    let names = [&post.places.zones, &post.places.kinds, &post.places.classes];
+    // A blank between the lists: none of the names has one.
+    let names = names.into_iter().flat_map(|list| list.iter().map(String::as_str).chain([" "]));
+    Owner::of(&post.name, names)
+}
+
+fn rules(terms: &Terms) -> Rules {
+    Rules {
+        report_period: terms.span("fleet.report_period_us").max(Duration::from_millis(100)),
+        warm_within: terms.span("rules.warm_within_us"),
+    }
+}
+
+impl Keeper {
+    pub fn write(&self, entries: Vec<Entry>) {
+        // The thread ends only with the pilot.
+        let _ = self.0.send(entries);
+    }
+}
+
+/// Entries go into the journal as they come, and are flushed a few times a second.
+fn keep(mut store: Store<Folder>, inbox: &Receiver<Vec<Entry>>, told: &Told) {
+    let (mut due, mut trouble): (Option<Instant>, Option<String>) = (None, None);
+    loop {
+        let wait = due.map_or(Duration::MAX, |due| due.saturating_duration_since(Instant::now()));
+        let done = match inbox.recv_timeout(wait.min(Duration::from_secs(3600))) {
+            Ok(entries) => {
+                due.get_or_insert(Instant::now() + FLUSH_EVERY);
+                store.append(&entries)
+            }
+            Err(RecvTimeoutError::Timeout) => Ok(()),
+            Err(RecvTimeoutError::Disconnected) => {
+                let _ = store.flush();
+                return;
+            }
+        };
+        let flushing = due.is_some_and(|due| due <= Instant::now());
+        let begun = Instant::now();
+        let done = if flushing { done.and(store.flush()) } else { done };
+        let wrong = done.err().map(|error| error.to_string());
+        if wrong.is_some() && wrong != trouble {
+            complain(&format!(
+                "what is learned is not kept for now: {}",
+                wrong.as_deref().unwrap_or_default()
+            ));
+        }
+        if flushing {
+            due = wrong.is_some().then(|| Instant::now() + FLUSH_EVERY);
+            let kept = Kept {
+                entries: store.state().len(),
+                bytes: store.bytes(),
+                number: store.number(),
+                flush: begun.elapsed(),
+                trouble: wrong.clone(),
+            };
+            if told.blocking_send(News::Kept(kept)).is_err() {
+                return;
+            }
+        }
+        trouble = wrong;
+    }
+}
--- a/crates/pilot/src/station.rs
+++ b/crates/pilot/src/station.rs
@@ -39,7 +39,7 @@
     }
 }
 
-const ENTRIES: [Entry; 16] = [
+const ENTRIES: [Entry; 17] = [
     user("show info", "what this pilot is and how it fares"),
     user("show version", "the version of the program"),
     user("show stat", "counters by class, table and server, as CSV"),
@@ -49,6 +49,7 @@
     user("show levels", "what is let in, by class and table"),
     user("show plan", "the last plan: what is dropped and why, load against capacity"),
     user("show plan problem", "the problem that was solved last, as a file for lockcroft solve"),
+    user("show memory", "what is kept across restarts: size, last flush, trouble"),
     user("show events [-w]", "the last notes and decisions; -w follows"),
     user("show log", "the levels of the logs"),
     admin(
@@ -93,6 +94,7 @@
             "show levels" => Ok(helm.show_levels()),
             "show plan" => Ok(helm.show_plan()),
             "show plan problem" => problem(helm),
+            "show memory" => Ok(helm.show_memory()),
             "show events [-w]" => {
                 let mut mark = 0;
                 let text = helm.events_since(&mut mark);
--- a/crates/proxy/src/io/files.rs
+++ b/crates/proxy/src/io/files.rs
@@ -14,7 +14,7 @@
 use super::control::carry_out;
 use super::running::Core;
 use super::watch::Watch;
-use super::work::off_thread;
+use super::work::{Turn, off_thread};
 use crate::files::FromFiles;
 use crate::orders::Orders;
 use crate::post::FilesTerms;
@@ -38,7 +38,7 @@
     let mut complained = String::new();
     loop {
         let every = followed.terms.look_every;
-        let (kept, looked) = off_thread(move || {
+        let (kept, looked) = off_thread(Turn::Read, move || {
             let looked = followed.look();
             (followed, looked)
         })
@@ -50,7 +50,7 @@
                 let told = take(&core, looked, &mut from, &mut orders, &mut status).await;
                 if told {
                     let (folder, status) = (folder.clone(), status.clone());
-                    let written = off_thread(move || write_status(&folder, &status)).await;
+                    let written = off_thread(Turn::Tell, move || write_status(&folder, &status)).await;
                     // The pilot then believes what it believed before.
                     written.unwrap_or_else(|e| warn!(target: "lockcroft::files", "status: {e}"));
                 }
--- a/crates/proxy/src/io/watch.rs
+++ b/crates/proxy/src/io/watch.rs
@@ -12,6 +12,13 @@
 
 use super::files::watched;
 
+/// Whether something new may be current: a link was swapped, or an epoch taken. The rest is the writer's own affair.
+fn tells(event: &notify::Event) -> bool {
+    let name = |path: &PathBuf| path.file_name().and_then(|name| name.to_str()).map(str::to_string);
+    let told = |name: String| name == "current" || name.starts_with('e');
+    !event.kind.is_access() && event.paths.iter().filter_map(name).any(told)
+}
+
 /// A folder that somebody follows.
 struct Shared {
     folder: PathBuf,
@@ -58,7 +65,7 @@
         let changes = watch::Sender::new(0);
         let sender = changes.clone();
         let watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
-            if event.is_ok_and(|event| !event.kind.is_access()) {
+            if event.is_ok_and(|event| tells(&event)) {
                 sender.send_modify(|count| *count += 1);
             }
         });
--- a/crates/rehearsal/src/meter.rs
+++ b/crates/rehearsal/src/meter.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Load {
     pub samples: Vec<(f64, f64, f64)>,
+    /// Seconds of CPU that the threads of all proxies took, their reading of files among it.
+    pub proxies_s: f64,
 }
 
 impl fmt::Display for Load {
@@ -29,7 +31,9 @@
         let peak = cores.last().copied().unwrap_or(0.0);
         write!(
             out,
-            "pilot: {middle:.2} cores (median second), {peak:.2} (worst second), {most:.0} MB at most"
+            "pilot: {middle:.2} cores (median second), {peak:.2} (worst second), {most:.0} MB at most; \
+             proxies: {:.1} s of CPU in all",
+            self.proxies_s
         )
     }
 }
@@ -64,16 +68,34 @@
 
     pub fn read(self) -> Load {
         self.task.abort();
-        self.load.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        let load = self.load.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        Load { proxies_s: of_threads(&["proxies-", "files-"]), ..load }
     }
 }
 
+/// Seconds of CPU so far of this process's own threads with such names.
+fn of_threads(names: &[&str]) -> f64 {
+    let threads = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    let ticks = |thread: fs::DirEntry| {
+        let stat = fs::read_to_string(thread.path().join("stat")).ok()?;
+        let (head, fields) = stat.rsplit_once(')')?;
+        let name = head.split_once('(')?.1;
+        names.iter().any(|wanted| name.starts_with(wanted)).then(|| ticks_of(fields))?
+    };
+    threads.filter_map(ticks).sum::<f64>() / TICKS
+}
+
+/// User and system time among the fields behind a process's or thread's name: fields 14 and 15.
+fn ticks_of(fields: &str) -> Option<f64> {
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    Some(fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?)
+}
+
 /// Ticks of CPU so far, and resident megabytes.
 fn sample(id: u32) -> Option<(f64, f64)> {
     let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-    // The name in brackets may hold blanks; behind it fields 14 and 15 are user and system time.
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    // The name in brackets may hold blanks.
+    let ticks = ticks_of(stat.rsplit_once(')')?.1)?;
     let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
     let held = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
     Some((ticks, held.trim().trim_end_matches(" kB").parse::<f64>().ok()? / 1024.0))
--- /dev/null
+++ b/crates/tablefile/benches/codec.rs
@@ -0,0 +1,88 @@
+//! Tables as protobuf files against JSON and against the text of commands: bytes, and lines a second written and read.
+//! Medians of nine, with the slowest and fastest. `cargo bench -p lockcroft-tablefile`
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::time::Instant;
+
+use lockcroft_runtime::split;
+use lockcroft_tablefile::{Content, Key, Keys, Line, Table, open, read_table, seal};
+use serde::{Deserialize, Serialize};
+
+#[derive(Serialize, Deserialize)]
+struct JsonLine {
+    server: String,
+    address: String,
+    weight: u32,
+}
+
+fn table(lines: usize) -> Table {
+    let line = |i: usize| {
+        let address =
+            format!("10.{}.{}.{}:8101", i / 65_536, i / 256 % 256, i % 256).parse().expect("an address");
+        (format!("server-{i:05}"), Line { address, weight: 1 + (i % 256) as u32 })
+    };
+    Table { lines: (0..lines).map(line).collect() }
+}
+
+/// Lines a second, in millions.
+fn rate(name: &str, lines: usize, bytes: usize, mut work: impl FnMut()) {
+    let rounds = (200_000 / lines).max(1);
+    let mut rates: Vec<f64> = (0..9)
+        .map(|_| {
+            let begun = Instant::now();
+            (0..rounds).for_each(|_| work());
+            (rounds * lines) as f64 / begun.elapsed().as_secs_f64() / 1e6
+        })
+        .collect();
+    rates.sort_by(f64::total_cmp);
+    println!(
+        "{lines:6} lines  {name:24} {bytes:8} bytes  {:6.2} ({:.2} to {:.2})",
+        rates[4], rates[0], rates[8]
+    );
+}
+
+fn main() {
+    println!("million lines a second");
+    let keys = Keys(vec![Key::new("k1", &[7; 32]).expect("long enough")]);
+    for lines in [25, 600, 10_000] {
+        let table = table(lines);
+        let content = Content { tables: BTreeMap::from([(0, table.clone())]), ..Content::default() };
+        let generation = seal("p", 1, 1, &content, &keys);
+        let file = generation.members["table-0"].bytes.clone();
+        rate("file: written, sealed", lines, file.len(), || {
+            drop(black_box(seal("p", 1, 1, &content, &keys)))
+        });
+        rate("file: checked, read", lines, file.len() + generation.manifest.len(), || {
+            let opened = open(&generation.manifest, &keys).expect("sound");
+            opened.check("table-0", &file).expect("sound");
+            black_box(read_table("table-0", &file)).expect("sound");
+        });
+        let all: Vec<JsonLine> = table
+            .lines
+            .iter()
+            .map(|(server, line)| JsonLine {
+                server: server.clone(),
+                address: line.address.to_string(),
+                weight: line.weight,
+            })
+            .collect();
+        let json = serde_json::to_vec(&all).expect("written");
+        rate("JSON: written", lines, json.len(), || drop(black_box(serde_json::to_vec(&all))));
+        rate("JSON: read", lines, json.len(), || {
+            black_box(serde_json::from_slice::<Vec<JsonLine>>(&json)).expect("sound");
+        });
+        let write = || {
+            let command = |(server, line): (&String, &Line)| {
+                format!(
+                    "add server t0/{server} {} weight {}; set server t0/{server} state ready; ",
+                    line.address, line.weight
+                )
+            };
+            table.lines.iter().map(command).collect::<String>()
+        };
+        let text = write();
+        rate("commands: written", lines, text.len(), || drop(black_box(write())));
+        rate("commands: split", lines, text.len(), || drop(black_box(split(&text))));
+    }
+}
--- a/crates/tablefile/src/open.rs
+++ b/crates/tablefile/src/open.rs
@@ -8,6 +8,7 @@
 
 use crate::content::{Bound, Group, Line, Table};
 use crate::keys::Keys;
+use crate::seal::status_sum;
 use crate::{FORMAT, LEVEL_MOST, MANIFEST_MOST, MEMBER_MOST, MEMBERS_MOST, WEIGHT_MOST, proto};
 
 /// Why bytes are not believed.
@@ -170,9 +171,13 @@
 }
 
 /// # Errors
-/// The bytes are no status.
+/// The bytes are no status, or are of one that is being written.
 pub fn read_status(bytes: &[u8]) -> Result<proto::Status, Wrong> {
-    parse("status", bytes)
+    let status: proto::Status = parse("status", bytes)?;
+    if status.sum != status_sum(&status) {
+        return Err(Wrong::Digest("status".into()));
+    }
+    Ok(proto::Status { sum: 0, ..status })
 }
 
 /// Lengths inside are held against the bytes that are there, never believed.
--- a/crates/tablefile/src/seal.rs
+++ b/crates/tablefile/src/seal.rs
@@ -61,9 +61,15 @@
     Generation { epoch, version, members, manifest }
 }
 
-/// A proxy's status, as bytes.
+/// A proxy's status, as bytes with their sum.
 pub fn write_status(status: &proto::Status) -> Vec<u8> {
-    bytes(status)
+    bytes(&proto::Status { sum: status_sum(status), ..status.clone() })
+}
+
+/// Tells a status that was read in the midst of a write.
+pub(crate) fn status_sum(status: &proto::Status) -> u32 {
+    let digest = Sha256::digest(bytes(&proto::Status { sum: 0, ..status.clone() }));
+    u32::from_le_bytes([digest[0], digest[1], digest[2], digest[3]])
 }
 
 fn table_message(number: u32, table: &Table) -> proto::Table {
--- a/crates/terms/src/post.rs
+++ b/crates/terms/src/post.rs
@@ -28,6 +28,8 @@
     pub log: LogTerms,
     /// The folder for proxies that read files.
     pub files: Option<FilesAt>,
+    /// The folder in which what was learned is kept across restarts.
+    pub memory: Option<PathBuf>,
     /// A command that a proxy leaves unanswered for so long breaks its stream.
     pub answer_within: Duration,
     /// The first wait before a broken stream is dialled anew, and the longest.
@@ -177,6 +179,7 @@
             roster: self.roster(part("roster-file"), part("roster"), &places),
             log: LogTerms::read(part("log")),
             files: self.files(part("files"), &proxies),
+            memory: part("memory").map(|node| self.base().join(text(node, "folder"))),
             terms: std::mem::take(&mut self.terms),
             places,
             proxies,
@@ -185,6 +188,11 @@
         }
     }
 
+    /// Where names of files begin.
+    fn base(&self) -> &Path {
+        self.document.file().parent().unwrap_or(Path::new("."))
+    }
+
     fn put(&mut self, name: &str, term: Term) {
         self.terms.0.insert(name.into(), term);
     }
@@ -279,7 +287,7 @@
             }
             return None;
         };
-        let base = self.document.file().parent().unwrap_or(Path::new("."));
+        let base = self.base();
         let time = node.attribute("look-every").and_then(|time| span(time).ok());
         let count = node.attribute("generations").and_then(|count| count.parse().ok());
         Some(FilesAt {
@@ -306,8 +314,7 @@
     fn roster(&mut self, file: Option<Node>, here: Option<Node>, places: &Places) -> RosterAt {
         let most = weight_most(&self.terms);
         if let Some(node) = file {
-            let folder = self.document.file().parent().unwrap_or(Path::new("."));
-            let path = folder.join(text(node, "path"));
+            let path = self.base().join(text(node, "path"));
             if let Err(faults) = Roster::open(&path, places, most) {
                 self.faults.extend(faults.0);
             }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -323,6 +323,41 @@
         }
     }
 
+    /// What was known of a server before this start, as far as it is still good: its relief, how long ago it
+    /// was started and what is left of its warm-up, and of a doubt. One that is gone is named, as proxies may
+    /// still hold it. This makes nothing less careful.
+    pub fn recalled(
+        &mut self,
+        now: Duration,
+        listing: Listing,
+        relief: f64,
+        warming: Option<(Duration, Duration)>,
+        doubted: Duration,
+    ) {
+        let near = |part: &usize| part % self.places.max(1) == listing.zone % self.places.max(1);
+        let part = (0..self.parts).find(near).unwrap_or(0);
+        let Some(known) = self.servers.get_mut(&listing.server) else {
+            if listing.state == Listed::Gone && self.parts > 0 {
+                let gone = Known { part, listing, relief: 1.0, probe_at: Duration::MAX, ..Known::default() };
+                self.servers.insert(listing.server, gone);
+                self.news = true;
+            }
+            return;
+        };
+        known.relief = known.relief.min(relief.max(RELIEF_LEAST));
+        known.doubted_until = known.doubted_until.max(now + doubted);
+        if let Some((since, left)) = warming.filter(|(_, left)| now + *left > known.warm_at) {
+            (known.started, known.warm_at) = (now.saturating_sub(since), now + left);
+        }
+    }
+
+    /// A level of before this start that is still to be believed.
+    pub fn recalled_level(&mut self, class: Class, table: TableNumber, level: f64) {
+        let meant = |gate: &&mut Gate| gate.class == class && gate.table == table;
+        let gates = self.gates.iter_mut().filter(meant);
+        gates.for_each(|gate| gate.level = gate.level.min(level.max(ALWAYS_LEFT)));
+    }
+
     /// So many lines really wait, where the host can tell: proxies that stall take none.
     pub fn queued(&mut self, lines: usize) {
         self.channel.queued = Some(lines as f64);
