--- a/crates/cli/src/ways.rs
+++ b/crates/cli/src/ways.rs
@@ -57,6 +57,12 @@
             score.crossing,
             tens.join(" ")
         );
+        for after in &score.restarts {
+            println!(
+                "{:24} 20 s behind the start at {:.0} s: {:.3}, {} changed, tables laid in {:.1} s",
+                "", after.at_s, after.fulfilled, after.changes, after.settled_s
+            );
+        }
     }
 }
 
--- a/crates/fleet/benches/wave.rs
+++ b/crates/fleet/benches/wave.rs
@@ -7,6 +7,7 @@
 
 use lockcroft::{Finding, Listed};
 use lockcroft_fleet::{Effect, Helm};
+use lockcroft_memory::Recalled;
 use lockcroft_terms::{Document, Entry, Post, Roster, SCHEMA};
 
 const SERVERS: usize = 640;
@@ -71,7 +72,48 @@
     (commands, bytes)
 }
 
+/// What it costs the thread that decides to tell what is to be kept: each call of a quiet fleet with a zone that is lost,
+/// and all of them for a second of it.
+fn keeping(memory: bool) {
+    let document = Document::new(Path::new("bench.xml"), settings(), SCHEMA).expect("sound");
+    let post = Post::read(&document).expect("sound");
+    let mut helm = Helm::new(&post, 0);
+    if memory {
+        helm.remember(Recalled::default());
+    }
+    helm.listed(Duration::ZERO, SystemTime::now(), roster(0, None));
+    let (mut now, mut lost, mut times) = (Duration::ZERO, false, Vec::new());
+    let (from, until) = (Duration::from_secs(8), Duration::from_secs(28));
+    while now < until {
+        if now > Duration::from_secs(18) && !std::mem::replace(&mut lost, true) {
+            helm.listed(now, SystemTime::now(), roster(1, Some(1)));
+        }
+        let begun = Instant::now();
+        let effects = helm.decide(now);
+        if now > from {
+            times.push(begun.elapsed());
+        }
+        settle(&mut helm, now, effects);
+        now = helm.next_due().max(now + Duration::from_millis(1));
+    }
+    let sum: Duration = times.iter().sum();
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!(
+        "memory {memory}: {} calls, p50 {:.1?}, p90 {:.1?}, p99 {:.1?}, {:.2?} for a second",
+        times.len(),
+        at(0.5),
+        at(0.9),
+        at(0.99),
+        sum / 20
+    );
+}
+
 fn main() {
+    for _ in 0..2 {
+        keeping(false);
+        keeping(true);
+    }
     for round in 1..=5 {
         let document = Document::new(Path::new("bench.xml"), settings(), SCHEMA).expect("sound");
         let post = Post::read(&document).expect("sound");
--- a/crates/memory/tests/folder.rs
+++ b/crates/memory/tests/folder.rs
@@ -210,3 +210,18 @@
         }
     }
 }
+
+/// A disk that can't be read is no empty one: nothing is begun on top of what may be there.
+#[test]
+fn a_file_that_can_not_be_read_is_no_loss() {
+    let folder = two();
+    let path = folder.path().join("journal-2");
+    let sound = fs::read(&path).expect("there");
+    fs::remove_file(&path).expect("gone");
+    fs::create_dir(&path).expect("a folder in its place");
+    assert!(matches!(look(folder.path()), Err(Trouble::Io(_))));
+    assert!(matches!(Store::open(Folder::hold(folder.path()).expect("held"), owner()), Err(Trouble::Io(_))));
+    fs::remove_dir(&path).expect("gone");
+    fs::write(&path, sound).expect("written");
+    assert_eq!(last(&look(folder.path()).expect("sound")), 30);
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -22,7 +22,7 @@
 pub use play::{Report, Summary, play};
 pub use proxies::Hosts;
 pub use rules::{Limits, Verdict, judge};
-pub use score::{Score, Zones, score};
+pub use score::{After, Score, Zones, score};
 pub use stage::{Relay, Stage, settings};
 pub use ways::{Tries, Variant, search};
 pub use wire::{Stall, Wire};
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -12,7 +12,7 @@
 use crate::meter::{Load, Meter};
 use crate::pilot::PilotProcess;
 use crate::rules::{Verdict, judge};
-use crate::score::{Score, score};
+use crate::score::{After, Score, score};
 use crate::stage::{Relay, Stage};
 use crate::wire::Stall;
 
@@ -55,7 +55,8 @@
             let at = if at.is_empty() { String::new() } else { format!(" ({at})") };
             writeln!(out, "{word:6} {rule:20} {figure:.2} of {limit:.2} {of}{at}")?;
         }
-        let Score { visits, whole, worst_window, worst_at_s, classes, tens, crossing, changes } = &self.score;
+        let Score { visits, whole, worst_window, worst_at_s, classes, tens, crossing, changes, restarts } =
+            &self.score;
         writeln!(
             out,
             "fulfilled earnings {whole:.3} of {visits} visits, {worst_window:.3} in the worst 10 s (from {worst_at_s:.0} s)"
@@ -67,6 +68,12 @@
         }
         writeln!(out, "  visits that crossed zones: {crossing:.3}")?;
         writeln!(out, "  weights and levels changed, each 10 s: {changes:?}")?;
+        for After { at_s, fulfilled, changes, settled_s } in restarts {
+            writeln!(
+                out,
+                "  20 s behind the start at {at_s:.0} s: {fulfilled:.3}, {changes} changed, tables laid in {settled_s:.1} s"
+            )?;
+        }
         writeln!(out, "{}", self.load)?;
         for name in [
             "OrderMsP50",
@@ -152,7 +159,7 @@
     let records = stage.tap.records();
     Ok(Report {
         verdicts: judge(&records, &stage.limits),
-        score: score(&records, &stage.post.terms, &stage.zones()),
+        score: score(&records, &stage.post.terms, &stage.zones(), &restarts(day)),
         pilot: info.lines().filter(|line| !line.is_empty()).map(String::from).collect(),
         load,
         exit,
@@ -165,6 +172,12 @@
     ask(&socket, command, Duration::from_secs(2)).await.unwrap_or_else(|e| e.to_string())
 }
 
+/// When the pilot is started anew.
+fn restarts(day: &Day) -> Vec<Duration> {
+    let kills = day.troubles.iter().filter(|trouble| trouble.kind == TroubleKind::KillPilot);
+    kills.filter_map(|kill| Some(kill.at + kill.lasts?)).collect()
+}
+
 fn patience(stage: &Stage) -> Duration {
     let terms = &stage.post.terms;
     let spans = (0..stage.limits.classes.len()).map(|i| terms.span(&format!("classes.{i}.patience_us")));
--- a/crates/rehearsal/src/score.rs
+++ b/crates/rehearsal/src/score.rs
@@ -12,6 +12,24 @@
 /// The zone of each endpoint and relay, by name.
 pub type Zones = BTreeMap<String, String>;
 
+/// What came of the time after a pilot's restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct After {
+    pub at_s: f64,
+    /// Share of the earnings asked for in the 20 s behind it.
+    pub fulfilled: f64,
+    /// Orders that change a weight or a level in these 20 s, at all relays together.
+    pub changes: usize,
+    /// Seconds to the last order that puts a relay on a table, or lays a line of one anew, before it has been quiet
+    /// for [`QUIET`]; 0 if none came.
+    pub settled_s: f64,
+}
+
+/// Behind a restart.
+const AFTER: Duration = Duration::from_secs(20);
+/// Weights move all day: tables of a start are laid once there was none for so long.
+pub const QUIET: Duration = Duration::from_secs(1);
+
 /// Shares from 0 to 1.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Score {
@@ -27,10 +45,12 @@
     pub crossing: f64,
     /// Orders that change a weight or a level, at all relays together, in each 10 s from the start.
     pub changes: Vec<usize>,
+    /// Behind each start of the pilot but the first.
+    pub restarts: Vec<After>,
 }
 
 /// An answer in contract time earns in full, one within patience what the terms state for it.
-pub fn score(records: &[Record], terms: &Terms, zones: &Zones) -> Score {
+pub fn score(records: &[Record], terms: &Terms, zones: &Zones, restarts: &[Duration]) -> Score {
     let figure = |i: usize, what: &str| terms.number(&format!("classes.{i}.{what}"));
     let classes = 0..terms.count("classes");
     let earns: BTreeMap<&str, (f64, f64, f64)> = classes
@@ -42,6 +62,7 @@
         .collect();
     let mut windows: BTreeMap<u64, Share> = BTreeMap::new();
     let (mut all, mut by_class, mut visits) = (Share::default(), BTreeMap::<String, Share>::new(), 0);
+    let mut after = vec![Share::default(); restarts.len()];
     for record in records {
         let What::Visit { class, asked, status, .. } = &record.what else { continue };
         let Some((contract, earnings, late)) = earns.get(class.as_str()) else { continue };
@@ -56,6 +77,11 @@
         visits += 1;
         all.add(*earnings, part);
         by_class.entry(class.clone()).or_default().add(*earnings, part);
+        for (at, share) in restarts.iter().zip(&mut after) {
+            if (*at..*at + AFTER).contains(asked) {
+                share.add(*earnings, part);
+            }
+        }
         // Windows begin at every second; a visit stands in all that hold it.
         let second = asked.as_secs();
         for begin in second.saturating_sub(WINDOW.as_secs() - 1)..=second {
@@ -78,9 +104,37 @@
         classes: by_class.into_iter().map(|(class, share)| (class, share.share())).collect(),
         crossing: crossing(records, zones),
         changes: changes(records),
+        restarts: restarts.iter().zip(after).map(|(at, share)| behind(records, *at, share.share())).collect(),
     }
 }
 
+fn behind(records: &[Record], at: Duration, fulfilled: f64) -> After {
+    let orders = records.iter().filter(|record| (at..at + AFTER).contains(&record.at));
+    let orders = orders.filter_map(|record| match &record.what {
+        What::Set { orders, .. } => Some((record.at, orders.iter().filter(changing).count(), orders)),
+        _ => None,
+    });
+    let (mut changes, mut settled, mut quiet) = (0, None::<Duration>, false);
+    for (when, count, orders) in orders {
+        changes += count;
+        let lays = orders.iter().any(|(command, _)| {
+            command.starts_with("add server")
+                || command.contains(" map classes ")
+                || command.contains(" weight ")
+        });
+        quiet |= settled.is_some_and(|last| when > last + QUIET);
+        if lays && !quiet {
+            settled = Some(when);
+        }
+    }
+    let settled_s = settled.map_or(0.0, |settled| (settled - at).as_secs_f64());
+    After { at_s: at.as_secs_f64(), fulfilled, changes, settled_s }
+}
+
+fn changing((command, _): &&(String, String)) -> bool {
+    command.contains(" weight ") || command.starts_with("set var proc.level_")
+}
+
 fn crossing(records: &[Record], zones: &Zones) -> f64 {
     let (mut all, mut abroad) = (0_u32, 0_u32);
     for record in records {
@@ -97,9 +151,6 @@
         let What::Set { orders, .. } = &record.what else { continue };
         let window = (record.at.as_secs() / WINDOW.as_secs()) as usize;
         changes.resize(changes.len().max(window + 1), 0);
-        let changing = |(command, _): &&(String, String)| {
-            command.contains(" weight ") || command.starts_with("set var proc.level_")
-        };
         changes[window] += orders.iter().filter(changing).count();
     }
     changes
