--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -7,8 +7,7 @@
 use std::time::{Duration, SystemTime};
 
 use hdrhistogram::Histogram;
-use lockcroft::{Decision, Finding, Listed, Listing, Pilot, Proxy, Server, TableNumber};
-use lockcroft_generations::Written;
+use lockcroft::{Decision, Finding, Pilot, Proxy, Server, TableNumber};
 use lockcroft_memory::{Entry, Recalled};
 use lockcroft_naming::Places;
 use lockcroft_runtime::sheets::read_stat;
@@ -20,7 +19,8 @@
 use crate::berth::{Asked, Berth, Stage};
 use crate::book::{Book, Desk};
 use crate::events::Events;
-use crate::files::{FileFront, Publication, Report, Unwritten};
+use crate::files::{FileFront, Publication};
+use crate::kept::Kept;
 use crate::list::{List, Word};
 use crate::notes::Notes;
 use crate::planner::{Plan, Planner, Task};
@@ -64,19 +64,6 @@
     },
 }
 
-/// How the folder of what is kept across restarts fares.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Kept {
-    pub entries: usize,
-    pub bytes: usize,
-    /// Of the snapshot in use.
-    pub number: u64,
-    /// How long the last flush took.
-    pub flush: Duration,
-    /// Why nothing is kept for now.
-    pub trouble: Option<String>,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     /// Whether the oldest question of a stream was answered.
@@ -124,18 +111,18 @@
     pub(crate) notes: Option<Notes>,
     pub(crate) kept: Kept,
     /// What was known before the start, until the first list says which servers there are.
-    recalled: Option<Recalled>,
+    pub(crate) recalled: Option<Recalled>,
     touched: BTreeSet<Proxy>,
     /// Joined proxies by the tables that they were put on.
     on: BTreeMap<TableNumber, BTreeSet<Proxy>>,
-    effects: VecDeque<Effect>,
+    pub(crate) effects: VecDeque<Effect>,
     /// The times that are not the decisions' own, in one order.
     due: BTreeSet<(Duration, Timer)>,
     chance: WyRand,
     report_period: Duration,
     answer_within: Duration,
     redial: [Duration; 2],
-    epoch: u64,
+    pub(crate) epoch: u64,
 }
 
 impl Helm {
@@ -182,45 +169,6 @@
         }
     }
 
-    /// Takes over from before the start what is still good of it, and from now on gives out what is to be kept.
-    pub fn remember(&mut self, recalled: Recalled) {
-        self.notes = Some(Notes::new(self.epoch));
-        self.recalled = Some(recalled);
-    }
-
-    /// How what was to be kept fares.
-    pub fn kept(&mut self, kept: Kept) {
-        self.kept = kept;
-    }
-
-    /// Behind the first list: servers that went while nobody looked are named, and nothing is made less careful.
-    fn recall(&mut self, now: Duration, recalled: Recalled) {
-        let (servers, levels) = (recalled.servers.len(), recalled.levels.len());
-        for server in recalled.servers {
-            let (Ok(zone), Ok(kind)) = (self.places.zone(&server.zone), self.places.kind(&server.kind))
-            else {
-                continue;
-            };
-            let number = self.list.met(&server.name);
-            let state = if server.out { Listed::Gone } else { Listed::Ready };
-            let listing = Listing { server: number, zone, kind, state, weight: 0.0, age: None };
-            self.pilot.recalled(now, listing, server.relief, server.warming, server.doubted);
-        }
-        for (class, table, level) in recalled.levels {
-            if let Ok(class) = self.places.class(&class) {
-                self.pilot.recalled_level(class, table as TableNumber, level);
-            }
-        }
-        if let Some(planner) = &mut self.planner {
-            planner.recall(recalled.sizes.into_iter().map(|(name, cores)| (self.list.met(&name), cores)));
-        }
-        if servers + levels > 0 {
-            let text = format!("recalled: {servers} servers, {levels} levels");
-            info!(target: "lockcroft::input", wave = self.wave, servers, levels, "recalled");
-            self.events.add(now, self.wave, &text);
-        }
-    }
-
     /// The list of servers, read anew.
     pub fn listed(&mut self, now: Duration, wall: SystemTime, roster: Roster) {
         self.now = now;
@@ -287,32 +235,6 @@
         }
     }
 
-    /// How the writing of the generation that is out went.
-    pub fn written(&mut self, now: Duration, done: Result<Written, Unwritten>) {
-        self.now = now;
-        match self.files.written(now, done) {
-            Ok(Written { epoch, version, files, linked, bytes }) => {
-                debug!(target: "lockcroft::order", wave = self.wave, epoch, version, files, linked, bytes, "written");
-                let text =
-                    format!("files: e{epoch} g{version}, {files} written, {linked} linked, {bytes} bytes");
-                self.events.add(now, self.wave, &text);
-            }
-            Err(why) => {
-                warn!(target: "lockcroft::order", wave = self.wave, why, "not written");
-                self.events.add(now, self.wave, &format!("files: {why}"));
-            }
-        }
-    }
-
-    /// What a proxy that reads files told.
-    pub fn laid(&mut self, now: Duration, report: Report) {
-        self.now = now;
-        if let Some(text) = self.files.told(report) {
-            warn!(target: "lockcroft::input", wave = self.wave, text, "refused");
-            self.events.add(now, self.wave, &format!("files: {text}"));
-        }
-    }
-
     /// A stream stands: the proxy is asked what it holds before anything is ordered.
     pub fn connected(&mut self, now: Duration, proxy: Proxy, stream: u64) {
         self.now = now;
@@ -524,18 +446,6 @@
         self.effects.drain(..).collect()
     }
 
-    fn take_notes(&mut self, now: Duration) {
-        let Some(notes) = &mut self.notes else { return };
-        let (servers, _, gates) = self.pilot.beliefs();
-        let mut entries = notes.slice(now, servers, gates, &self.list, &self.places);
-        if let Some(planner) = &mut self.planner {
-            entries.extend(notes.sizes(now, planner.sizes(now, servers), &self.list));
-        }
-        if !entries.is_empty() {
-            self.effects.push_back(Effect::Remember(entries));
-        }
-    }
-
     fn pass_time(&mut self, now: Duration) {
         while let Some((time, timer)) = self.due.first().copied().filter(|(time, _)| *time <= now) {
             self.due.remove(&(time, timer));
--- a/crates/fleet/src/views.rs
+++ b/crates/fleet/src/views.rs
@@ -9,7 +9,8 @@
 
 use crate::berth::Stage;
 use crate::files::{FileFront, Report};
-use crate::helm::{Helm, Kept};
+use crate::helm::Helm;
+use crate::kept::Kept;
 
 // Writing to a String cannot fail, so what `writeln` gives back is passed over below.
 impl Helm {
