Read the manifest of a generation in one place for proxies and for the tools

Need: a reader and the tools each opened, checked and placed a manifest by lines of their own, and a reader kept a table's number that its name already says. Change: one function serves both; behaviour and tests are unchanged, all checks pass.

--- a/crates/fleet/src/files.rs
+++ b/crates/fleet/src/files.rs
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
     pub proxy: String,
-    /// The last generation that it has laid, when, and whether it is on tables of that epoch.
+    /// The last generation that it has laid, and when.
     pub laid: Option<(Epoch, Version, Duration)>,
     /// The last that it refused: epoch, version, why.
     pub refused: Option<(Epoch, Version, String)>,
--- a/crates/generations/src/find.rs
+++ b/crates/generations/src/find.rs
@@ -1,11 +1,9 @@
 //! A generation read whole, by those who are no proxy.
 
-use lockcroft_tablefile::{
-    Content, Keys, MANIFEST, MANIFEST_MOST, WITHDRAWN, Wrong, open, read_group, read_table, read_withdrawn,
-};
+use lockcroft_tablefile::{Content, Keys, WITHDRAWN, Wrong, read_group, read_table, read_withdrawn};
 
 use crate::layout::{Epoch, Layout, Version};
-use crate::reader::{member, read_most};
+use crate::reader::{manifest, member};
 
 /// All of a sound generation.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,14 +20,9 @@
 /// What of it is not sound.
 pub fn find(layout: &Layout, epoch: Epoch, version: Version, keys: &Keys) -> Result<Found, String> {
     let folder = layout.generation(epoch, version);
-    let bytes = read_most(&folder.join(MANIFEST), MANIFEST_MOST)?;
+    let (opened, mut sum) = manifest(layout, epoch, version, keys)?;
     let said = |wrong: Wrong| wrong.to_string();
-    let opened = open(&bytes, keys).map_err(said)?;
-    if (opened.epoch, opened.version) != (epoch, version) {
-        return Err(format!("a copy of epoch {}, version {}", opened.epoch, opened.version));
-    }
     let mut content = Content::default();
-    let mut sum = bytes.len() as u64;
     for name in opened.members.keys() {
         let bytes = member(&folder, &opened, name)?;
         sum += bytes.len() as u64;
--- a/crates/generations/src/reader.rs
+++ b/crates/generations/src/reader.rs
@@ -51,7 +51,7 @@
     seen: Option<(Epoch, Version)>,
     /// Members as they were read, by name, with their digests.
     groups: BTreeMap<String, ([u8; 32], Group)>,
-    tables: BTreeMap<String, ([u8; 32], u32, Table)>,
+    tables: BTreeMap<String, ([u8; 32], Table)>,
 }
 
 impl Reader {
@@ -169,11 +169,7 @@
     /// Why it is not believed.
     fn read(&mut self, epoch: Epoch, version: Version) -> Result<Mine, String> {
         let folder = self.layout.generation(epoch, version);
-        let bytes = read_most(&folder.join(MANIFEST), MANIFEST_MOST)?;
-        let opened = open(&bytes, &self.keys).map_err(|wrong| wrong.to_string())?;
-        if (opened.epoch, opened.version) != (epoch, version) {
-            return Err(format!("a copy of epoch {}, version {}", opened.epoch, opened.version));
-        }
+        let (opened, _) = manifest(&self.layout, epoch, version, &self.keys)?;
         let mut mine = Mine { epoch, version, ..Mine::default() };
         let withdrawn = member(&folder, &opened, WITHDRAWN)?;
         mine.withdrawn = read_withdrawn(&withdrawn).map_err(|wrong| wrong.to_string())?;
@@ -213,7 +209,7 @@
         let name = format!("table-{number}");
         let (_, digest) =
             opened.members.get(&name).ok_or_else(|| format!("{name}: named by a group and not there"))?;
-        if let Some((known, _, table)) = self.tables.get(&name)
+        if let Some((known, table)) = self.tables.get(&name)
             && known == digest
         {
             return Ok(table.clone());
@@ -223,11 +219,26 @@
         if own != number {
             return Err(format!("{name}: says that it is table {own}"));
         }
-        self.tables.insert(name, (*digest, number, table.clone()));
+        self.tables.insert(name, (*digest, table.clone()));
         Ok(table)
     }
 }
 
+/// The manifest of a generation that stands where it belongs, and how many bytes it has.
+pub(crate) fn manifest(
+    layout: &Layout,
+    epoch: Epoch,
+    version: Version,
+    keys: &Keys,
+) -> Result<(Opened, u64), String> {
+    let bytes = read_most(&layout.generation(epoch, version).join(MANIFEST), MANIFEST_MOST)?;
+    let opened = open(&bytes, keys).map_err(|wrong| wrong.to_string())?;
+    if (opened.epoch, opened.version) != (epoch, version) {
+        return Err(format!("a copy of epoch {}, version {}", opened.epoch, opened.version));
+    }
+    Ok((opened, bytes.len() as u64))
+}
+
 pub(crate) fn member(folder: &Path, opened: &Opened, name: &str) -> Result<Vec<u8>, String> {
     let bytes = read_most(&folder.join(name), MEMBER_MOST)?;
     opened.check(name, &bytes).map_err(|wrong| wrong.to_string())?;
