Serve the users' platform: streams, collectors, discovery and probes round the module

A message is the difference between what was written on a stream and what is published, so that a slow proxy gets the last word only. What hosts share moved down to crates/naming (names of settings from the simulator's host, published tables from the fleet), HTTP calls to crates/calls, which the daemon's probes use now too.

The module is unchanged.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod files;
 mod memory;
+mod platform;
 mod rehearse;
 mod solve;
 mod ways;
@@ -32,6 +33,9 @@
     /// Run a pilot until SIGTERM; proxies keep their tables then.
     #[command(after_help = "Example: lockcroft serve /etc/lockcroft/pilot.xml")]
     Serve { file: PathBuf },
+    /// Run a pilot on the users' platform until SIGTERM; SIGHUP reads the file again.
+    #[command(after_help = "Example: LB_CONFIG=/run/balancer/config.json lockcroft platform")]
+    Platform(platform::Platform),
     /// Run a proxy that follows the tables of a pilot, until SIGTERM.
     #[command(after_help = "Example: lockcroft proxy /etc/lockcroft/proxy.xml")]
     Proxy { file: PathBuf },
@@ -85,6 +89,7 @@
 fn main() -> ExitCode {
     match Cli::parse().task {
         Task::Serve { file } => serve(&file),
+        Task::Platform(platform) => platform.run(),
         Task::Proxy { file } => proxy(&file),
         Task::Check { file, json } => check(&file, json),
         Task::Ask { address, command, within, json } => ask_one(&address, &command, within, json),
--- /dev/null
+++ b/crates/cli/src/platform.rs
@@ -0,0 +1,52 @@
+//! `lockcroft platform`: a pilot on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use lockcroft_platform::io;
+use lockcroft_terms::LogTerms;
+use serde_json::json;
+
+#[derive(Args)]
+pub struct Platform {
+    /// What the platform tells this pilot, as JSON.
+    #[arg(long, env = "LB_CONFIG")]
+    config: PathBuf,
+    /// Levels of the log, as info,lockcroft::order=debug
+    #[arg(long, env = "LOCKCROFT_LOG", default_value = "info")]
+    log: String,
+    /// Read the file, say whether it can be used, and start nothing.
+    #[arg(long)]
+    check: bool,
+    /// Print what --check found as JSON.
+    #[arg(long, requires = "check")]
+    json: bool,
+}
+
+impl Platform {
+    pub fn run(self) -> ExitCode {
+        let config = io::open(&self.config);
+        if self.json {
+            println!("{}", json!({"fault": config.as_ref().err()}));
+        }
+        let config = match config {
+            Ok(config) => config,
+            Err(fault) => {
+                eprintln!("lockcroft: {fault}");
+                return ExitCode::from(2);
+            }
+        };
+        if self.check {
+            return ExitCode::SUCCESS;
+        }
+        let logs = lockcroft_pilot::start_logs(&LogTerms { levels: Some(self.log), json: false });
+        match logs.and_then(|_logs| io::serve(&self.config, config)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(fault) => {
+                eprintln!("lockcroft: {fault}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -9,7 +9,7 @@
 use hdrhistogram::Histogram;
 use lockcroft::{Decision, Finding, Pilot, Proxy, Server, TableNumber};
 use lockcroft_memory::{Entry, Recalled};
-use lockcroft_naming::Places;
+use lockcroft_naming::{Places, Published};
 use lockcroft_runtime::sheets::read_stat;
 use lockcroft_solver::Answer;
 use lockcroft_terms::{Post, Roster};
@@ -24,8 +24,8 @@
 use crate::list::{List, Word};
 use crate::notes::Notes;
 use crate::planner::{Plan, Planner, Task};
-use crate::published::{Published, Scale};
 use crate::reports::{Counters, Told};
+use crate::scale::Scale;
 
 /// So many messages are written before the host takes them to its sockets.
 const MESSAGES_AT_ONCE: usize = 32;
@@ -487,12 +487,7 @@
                 }
             }
             Decision::Weigh { table, server, weight } => {
-                let lines = &mut self.published.tables.entry(table).or_default().lines;
-                if weight > 0.0 {
-                    lines.insert(server, weight)
-                } else {
-                    lines.remove(&server)
-                };
+                self.published.weigh(table, server, weight);
                 self.say_decided(now, &format!("t{table}: {} weighs {weight}", self.list.name(server)));
                 self.files.weigh(now, table, server);
                 self.each_on(table, |book| book.weigh(table, server, now, wave));
@@ -511,19 +506,13 @@
                 }
             }
             Decision::Withdraw { server, withdrawn } => {
-                let set = &mut self.published.withdrawn;
-                if withdrawn {
-                    set.insert(server)
-                } else {
-                    set.remove(&server)
-                };
+                self.published.withdraw(server, withdrawn);
                 self.say_decided(now, &format!("withdraw {}: {withdrawn}", self.list.name(server)));
                 self.files.withdraw(now, server);
                 self.each(|book| book.withdraw(server, now, wave));
             }
             Decision::Admit { table, class, share, second_try } => {
-                let sheet = self.published.tables.entry(table).or_default();
-                sheet.levels.insert(class, (share, second_try));
+                self.published.admit(table, class, share, second_try);
                 let name = &self.places.classes[class];
                 let again = if second_try { ", second tries" } else { "" };
                 self.say_decided(now, &format!("t{table}: {name} let in {share}{again}"));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,8 +12,8 @@
 mod list;
 mod notes;
 mod planner;
-mod published;
 mod reports;
+mod scale;
 mod views;
 
 pub use berth::Stage;
@@ -23,5 +23,5 @@
 pub use kept::Kept;
 pub use list::{List, Word};
 pub use planner::Task;
-pub use published::{Published, Scale};
 pub use reports::{Counters, Told};
+pub use scale::Scale;
--- a/crates/naming/src/lib.rs
+++ b/crates/naming/src/lib.rs
@@ -1,5 +1,11 @@
-//! Names to the small indices that decisions are made on, and back. Every host of a pilot, the
-//! simulator's and the daemon alike, gives out indices here and nowhere else.
+//! What every host of a pilot shares, the simulator's, the daemon and the platform's alike: names to the
+//! small indices that decisions are made on and back, the names of settings, and the tables published.
+
+mod published;
+mod settings;
+
+pub use published::{Published, Sheet};
+pub use settings::{read_settings, settings};
 
 use std::collections::BTreeMap;
 
--- a/crates/fleet/src/published.rs
+++ b/crates/naming/src/published.rs
@@ -24,28 +24,26 @@
     pub fn weight(&self, table: TableNumber, server: Server) -> f64 {
         self.tables.get(&table).and_then(|sheet| sheet.lines.get(&server)).copied().unwrap_or(0.0)
     }
-}
-
-/// Weights as the runtime API has them: whole numbers up to 256, which stands for the greatest
-/// weight that the terms let a list state.
-#[derive(Clone, Copy, Debug)]
-pub struct Scale {
-    pub most: f64,
-}
-
-impl Scale {
-    const UNITS: f64 = 256.0;
 
-    /// At least 1 for any weight above 0: rounding takes nobody out of a table.
-    pub fn units(&self, weight: f64) -> u32 {
-        if weight <= 0.0 {
-            0
+    /// Takes a line in, or out where the weight is 0.
+    pub fn weigh(&mut self, table: TableNumber, server: Server, weight: f64) {
+        let lines = &mut self.tables.entry(table).or_default().lines;
+        if weight > 0.0 {
+            lines.insert(server, weight);
         } else {
-            (weight / self.most * Self::UNITS).round().clamp(1.0, Self::UNITS) as u32
+            lines.remove(&server);
         }
     }
 
-    pub fn weight(&self, units: f64) -> f64 {
-        units / Self::UNITS * self.most
+    pub fn admit(&mut self, table: TableNumber, class: Class, share: f64, second_try: bool) {
+        self.tables.entry(table).or_default().levels.insert(class, (share, second_try));
+    }
+
+    pub fn withdraw(&mut self, server: Server, withdrawn: bool) {
+        if withdrawn {
+            self.withdrawn.insert(server);
+        } else {
+            self.withdrawn.remove(&server);
+        }
     }
 }
--- a/crates/simhost/src/terms.rs
+++ b/crates/naming/src/settings.rs
@@ -1,4 +1,5 @@
-//! The settings that arrive with an instance, flattened and renamed to the users' words.
+//! Settings as the users' platform states them, flattened and renamed to the house's words. They reach an
+//! instance of the simulator in its first message and a pilot on the platform in its configuration.
 
 use lockcroft::{Term, Terms};
 use serde_json::Value;
@@ -32,13 +33,19 @@
     ("worth", "earnings"),
 ];
 
-pub fn read(text: &str) -> Result<Terms, String> {
+/// # Errors
+/// Says what is wrong with the text; so does the one below.
+pub fn read_settings(text: &str) -> Result<Terms, String> {
     let value: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    settings(&value)
+}
+
+pub fn settings(value: &Value) -> Result<Terms, String> {
     if !value.is_object() {
         return Err("settings: not an object".into());
     }
     let mut terms = Terms::default();
-    flatten(String::new(), &value, &mut terms);
+    flatten(String::new(), value, &mut terms);
     Ok(terms)
 }
 
--- a/crates/pilot/src/probes.rs
+++ b/crates/pilot/src/probes.rs
@@ -3,19 +3,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Empty;
-use hyper::header::{CONNECTION, HOST};
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use lockcroft::Finding;
 use lockcroft::logic::PROBE_WAIT;
-use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+use lockcroft_calls::{Fault, Line};
 use tokio::time::timeout;
 
 /// Where servers tell the share of their cores in use, from 0 to 1.
 const LOAD: &str = "x-load";
+/// What a server says beside its load is not looked at.
+const BODY_MOST: usize = 1 << 16;
 
 pub async fn probe(address: SocketAddr) -> (Finding, Duration) {
     let sent = Instant::now();
@@ -24,21 +20,16 @@
 }
 
 async fn call(address: SocketAddr) -> Finding {
-    let Ok(stream) = TcpStream::connect(address).await else { return Finding::Refused };
-    let Ok((mut sender, connection)) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await
-    else {
-        return Finding::Refused;
+    let Ok(mut line) = Line::open(address).await else { return Finding::Refused };
+    let answer = match line.get("/health", true, BODY_MOST).await {
+        Ok(answer) => answer,
+        Err(Fault::Broken(_)) => return Finding::Refused,
+        Err(Fault::Cut(_)) => return Finding::Failed,
     };
-    let connection = spawn_local(connection);
-    let call = Request::get("/health").header(HOST, address.to_string()).header(CONNECTION, "close");
-    let Ok(call) = call.body(Empty::<Bytes>::new()) else { return Finding::Failed };
-    let answer = sender.send_request(call).await;
-    connection.abort();
-    let Ok(answer) = answer else { return Finding::Refused };
-    let load = answer.headers().get(LOAD).and_then(|load| load.to_str().ok()?.parse().ok());
-    match answer.status() {
+    let load = answer.headers.get(LOAD).and_then(|load| load.to_str().ok()?.parse().ok());
+    match answer.status {
         status if status.is_success() => Finding::Passed(load),
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Finding::TurnedAway,
+        status if status.as_u16() == 429 || status.as_u16() == 503 => Finding::TurnedAway,
         _ => Finding::Failed,
     }
 }
@@ -48,7 +39,7 @@
     use super::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
-    use tokio::task::LocalSet;
+    use tokio::task::{LocalSet, spawn_local};
 
     /// A server that reads the call and does this with the connection.
     async fn server(answer: Option<&'static str>, wait: Duration) -> SocketAddr {
--- /dev/null
+++ b/crates/platform/src/berth.rs
@@ -0,0 +1,149 @@
+//! One proxy's stream: what was written on it, what it should hold, and the message between the two. A proxy
+//! that is slow to read gets no second message while one is being written, and then the last word only.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lockcroft::{Class, Server, TableNumber};
+use lockcroft_naming::{Published, Sheet};
+
+use crate::codec::Part;
+use crate::roster::Roster;
+
+/// Names a connection; never given out twice.
+pub type Link = u64;
+
+/// A table that the proxy is on.
+#[derive(Debug)]
+struct Laid {
+    classes: Vec<Class>,
+    /// As it was last written on this stream.
+    written: Option<Sheet>,
+}
+
+#[derive(Debug)]
+pub struct Berth {
+    pub link: Link,
+    /// It holds nothing that any pilot ordered.
+    fresh: bool,
+    laid: BTreeMap<TableNumber, Laid>,
+    /// Servers that it is to shut out, and those that it was told on this stream to shut out.
+    shut: BTreeSet<Server>,
+    told: BTreeSet<Server>,
+    /// Servers that it surely does not shut out any more.
+    cleared: BTreeSet<Server>,
+    /// A message is still being written.
+    pub busy: bool,
+}
+
+/// What an order needs beside the berth.
+pub struct Desk<'a> {
+    pub published: &'a Published,
+    pub roster: &'a Roster,
+    pub classes: &'a [String],
+}
+
+impl Berth {
+    pub fn new(link: Link, fresh: bool) -> Self {
+        let (laid, cleared) = (BTreeMap::new(), BTreeSet::new());
+        Berth { link, fresh, laid, shut: BTreeSet::new(), told: BTreeSet::new(), cleared, busy: false }
+    }
+
+    pub fn bind(&mut self, table: TableNumber, classes: Vec<Class>) {
+        self.laid.insert(table, Laid { classes, written: None });
+    }
+
+    pub fn on(&self, table: TableNumber) -> bool {
+        self.laid.contains_key(&table)
+    }
+
+    /// Keeps it from a server, or ends that. A proxy whose every class is on tables of ours that have no line
+    /// of the server needs no word.
+    pub fn withdraw(&mut self, server: Server, withdrawn: bool, classes: usize) {
+        let bound: usize = self.laid.values().map(|laid| laid.classes.len()).sum();
+        let holds = |laid: &Laid| laid.written.as_ref().is_none_or(|sheet| sheet.lines.contains_key(&server));
+        if !withdrawn {
+            self.shut.remove(&server);
+        } else if bound < classes || self.laid.values().any(holds) {
+            self.shut.insert(server);
+        }
+    }
+
+    /// The message that brings the proxy from what was written to what is published; no part if there is
+    /// nothing to say. What is returned counts as written.
+    pub fn message<'a>(&mut self, desk: &Desk<'a>) -> Vec<Part<'a>> {
+        let name = |server: &Server| desk.roster.name(*server);
+        let mut orders = Part {
+            eject: self.shut.difference(&self.told).map(name).collect(),
+            restore: self.told.difference(&self.shut).map(name).collect(),
+            ..Part::default()
+        };
+        self.cleared.extend(self.told.difference(&self.shut));
+        self.told.clone_from(&self.shut);
+        let mut parts = Vec::new();
+        for (table, laid) in &mut self.laid {
+            let sheet = desk.published.tables.get(table).cloned().unwrap_or_default();
+            let before = parts.len();
+            laid.changes(&sheet, desk, &mut parts);
+            if parts.len() == before {
+                continue;
+            }
+            // A proxy keeps over a change of streams whom it was told to shut out, and by whom it does not
+            // say: lines of servers that moved go with a word that lets them back.
+            for server in sheet.lines.keys().filter(|server| desk.roster.moved(**server)) {
+                if !self.fresh && !self.shut.contains(server) && self.cleared.insert(*server) {
+                    orders.restore.push(name(server));
+                }
+            }
+            laid.written = Some(sheet);
+        }
+        if !(orders.eject.is_empty() && orders.restore.is_empty()) {
+            match parts.first_mut() {
+                Some(part) => (part.eject, part.restore) = (orders.eject, orders.restore),
+                None => parts.push(orders),
+            }
+        }
+        parts
+    }
+}
+
+impl Laid {
+    /// The parts that bring the table from what was written to this sheet. The first says the lines, and the
+    /// level where one holds for all of its classes.
+    fn changes<'a>(&self, sheet: &Sheet, desk: &Desk<'a>, parts: &mut Vec<Part<'a>>) {
+        let all = || (self.classes.len() < desk.classes.len()).then(|| self.routes(&self.classes, desk));
+        let empty = Sheet::default();
+        let (full, old) = (self.written.is_none(), self.written.as_ref().unwrap_or(&empty));
+        let name = |server: &Server| desk.roster.name(*server);
+        let gone = old.lines.keys().filter(|server| !sheet.lines.contains_key(server));
+        let new = sheet.lines.iter().filter(|(server, weight)| old.lines.get(server) != Some(weight));
+        let endpoints = new.map(|(server, weight)| (name(server), *weight));
+        let endpoints: Vec<(&str, f64)> = endpoints.chain(gone.map(|server| (name(server), 0.0))).collect();
+        let mut levels: Vec<((f64, bool), Vec<Class>)> = Vec::new();
+        for class in &self.classes {
+            let level = sheet.levels.get(class).filter(|level| old.levels.get(class) != Some(level));
+            let Some(level) = level else { continue };
+            match levels.iter_mut().find(|(known, _)| known == level) {
+                Some((_, classes)) => classes.push(*class),
+                None => levels.push((*level, vec![*class])),
+            }
+        }
+        let common = levels.len() == 1 && levels[0].1.len() == self.classes.len();
+        if full || !endpoints.is_empty() {
+            parts.push(Part { routes: all(), full, endpoints, ..Part::default() });
+        } else if common {
+            parts.push(Part { routes: all(), ..Part::default() });
+        }
+        for ((share, second_try), classes) in levels {
+            if !common {
+                parts.push(Part { routes: Some(self.routes(&classes, desk)), ..Part::default() });
+            }
+            if let Some(part) = parts.last_mut() {
+                (part.admit, part.policy) = (Some(share), Some(u8::from(second_try)));
+            }
+        }
+    }
+
+    fn routes<'a>(&self, classes: &[Class], desk: &Desk<'a>) -> Vec<&'a str> {
+        classes.iter().map(|class| desk.classes[*class].as_str()).collect()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/io/mod.rs
@@ -0,0 +1,167 @@
+//! The sockets, signals and clock of a pilot on the platform.
+
+mod discovery;
+mod links;
+mod probes;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, sleep_until};
+use tracing::{info, warn};
+
+use crate::berth::Link;
+use crate::config::Config;
+use crate::station::{Effect, Station};
+
+use self::links::Hand;
+
+/// The address of before a restart may take so long to be free.
+const BIND_MOST: Duration = Duration::from_secs(5);
+const BIND_AGAIN: Duration = Duration::from_millis(50);
+/// What happens within so long is decided on together, where the settings state no interval.
+const GATHER: Duration = Duration::from_millis(5);
+/// So often a line of sums is logged.
+const SUMS: Duration = Duration::from_secs(5);
+
+/// What all tasks of the pilot share; all run on one thread, and none holds the station across a wait.
+struct Shared {
+    station: RefCell<Station>,
+    start: Instant,
+    /// There is news to be decided on.
+    news: Notify,
+    hands: RefCell<BTreeMap<Link, Rc<Hand>>>,
+    last: Cell<Link>,
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Does what can't wait for the next decisions.
+    fn act(self: &Rc<Self>) {
+        let effects = self.station.borrow_mut().effects();
+        self.carry_out(effects);
+        self.news.notify_one();
+    }
+
+    fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
+        let hands = self.hands.borrow();
+        for effect in effects {
+            match effect {
+                Effect::Write { link, text } => hands.get(&link).iter().for_each(|hand| hand.write(&text)),
+                Effect::End { link } => hands.get(&link).iter().for_each(|hand| hand.end(false)),
+                Effect::Drop { link } => hands.get(&link).iter().for_each(|hand| hand.end(true)),
+                Effect::Probe { server, address } => {
+                    let shared = self.clone();
+                    spawn_local(async move {
+                        let asks_load = shared.station.borrow().asks_load;
+                        let (finding, took) = probes::probe(address, asks_load).await;
+                        shared.station.borrow_mut().probed(shared.now(), server, finding, took);
+                        shared.act();
+                    });
+                }
+            }
+        }
+    }
+}
+
+fn wall() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// # Errors
+/// The file can't be read or used.
+pub fn open(path: &Path) -> Result<Config, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Runs a pilot until SIGTERM; proxies keep their tables then. SIGHUP reads the file again.
+///
+/// # Errors
+/// A socket can't be had.
+pub fn serve(path: &Path, config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(path, config))
+}
+
+async fn run(path: &Path, config: Config) -> Result<(), String> {
+    let shared = Rc::new(Shared {
+        station: RefCell::new(Station::new(&config)),
+        start: Instant::now(),
+        news: Notify::new(),
+        hands: RefCell::default(),
+        last: Cell::new(0),
+    });
+    if let Some(known) = &config.known
+        && let Err(fault) = shared.station.borrow_mut().listed(shared.now(), wall(), known)
+    {
+        warn!(target: "lockcroft::list", fault, "the list of before can't be used");
+    }
+    let mut ends = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut reloads = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let listener = bind(config.listen).await?;
+    spawn_local(links::accept(listener, shared.clone()));
+    let (at, follows) = watch::channel(config.discovery);
+    spawn_local(discovery::follow(follows, shared.clone()));
+    spawn_local(tell_sums(shared.clone()));
+    info!(target: "lockcroft::platform", name = config.name, listen = %config.listen, "started");
+    let gather = config.terms.time("tick_us").unwrap_or(GATHER);
+    loop {
+        let due = shared.station.borrow().next_due();
+        tokio::select! {
+            _ = ends.recv() => break,
+            _ = reloads.recv() => reload(path, &at),
+            () = shared.news.notified() => sleep(gather).await,
+            () = sleep_until((shared.start + due).into()) => {}
+        }
+        let effects = shared.station.borrow_mut().decide(shared.now());
+        shared.carry_out(effects);
+    }
+    info!(target: "lockcroft::platform", "told to end; proxies keep their tables");
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
+    let start = Instant::now();
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(_) if start.elapsed() < BIND_MOST => sleep(BIND_AGAIN).await,
+            Err(error) => return Err(format!("cannot listen on {address}: {error}")),
+        }
+    }
+}
+
+/// The address of discovery may change while a pilot runs; the rest holds from start to end. A file that
+/// can't be used changes nothing.
+fn reload(path: &Path, at: &watch::Sender<SocketAddr>) {
+    match open(path) {
+        Ok(config) => {
+            let changed =
+                at.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+            info!(target: "lockcroft::platform", discovery = %config.discovery, changed, "read again");
+        }
+        Err(fault) => warn!(target: "lockcroft::platform", fault, "what was read before stays"),
+    }
+}
+
+async fn tell_sums(shared: Rc<Shared>) {
+    loop {
+        sleep(SUMS).await;
+        let sums = shared.station.borrow().sums;
+        let links = shared.hands.borrow().len();
+        info!(target: "lockcroft::sums", links, ?sums);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/roster.rs
@@ -0,0 +1,143 @@
+//! The list of endpoints as discovery tells it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lockcroft::{Listed, Listing, Server};
+use lockcroft_naming::{Names, Places};
+use serde_json::Value;
+
+/// One telling of discovery: the whole list, or what changed.
+pub struct Told {
+    pub whole: bool,
+    pub version: u64,
+    pub listings: Vec<Listing>,
+    /// Entries that could not be used, and why; the others stand.
+    pub faults: Vec<String>,
+}
+
+/// When a process started, as discovery says, and its age when that was first heard of, at that time.
+struct Start {
+    since_ms: u64,
+    age: Duration,
+    heard: Duration,
+}
+
+#[derive(Default)]
+pub struct Roster {
+    names: Names,
+    addresses: BTreeMap<Server, SocketAddr>,
+    starts: BTreeMap<Server, Start>,
+    /// Servers that drained, went or started while this day runs: some pilot may have shut them out.
+    moved: BTreeSet<Server>,
+    /// Those on the list now.
+    here: BTreeSet<Server>,
+    version: Option<u64>,
+}
+
+impl Roster {
+    pub fn name(&self, server: Server) -> &str {
+        self.names.name(server)
+    }
+
+    pub fn find(&self, name: &str) -> Option<Server> {
+        self.names.find(name)
+    }
+
+    pub fn address(&self, server: Server) -> Option<SocketAddr> {
+        self.addresses.get(&server).copied()
+    }
+
+    /// So many servers are on the list.
+    pub fn len(&self) -> usize {
+        self.here.len()
+    }
+
+    /// Whether some pilot may have shut it out, at some time, at a proxy that still does.
+    pub fn moved(&self, server: Server) -> bool {
+        self.moved.contains(&server)
+    }
+
+    /// The version that is held, to ask for what is newer.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Takes a telling in. `wall` is the time in Unix milliseconds, as all machines read it.
+    ///
+    /// # Errors
+    /// It can't be used as a whole; the list stays as it was.
+    pub fn take(&mut self, now: Duration, wall: u64, value: &Value, places: &Places) -> Result<Told, String> {
+        let version = value["index"].as_u64().ok_or("index: not a whole number")?;
+        let whole = value["snapshot"].as_bool().ok_or("snapshot: neither true nor false")?;
+        let entries = value["endpoints"].as_array().ok_or("endpoints: not a list")?;
+        if !whole && self.version.is_none_or(|held| version < held) {
+            return Err(format!("changes to version {version} on top of {:?}", self.version));
+        }
+        let (mut listings, mut faults) = (Vec::new(), Vec::new());
+        for entry in entries {
+            match self.entry(now, wall, entry, places) {
+                Ok(listing) => listings.push(listing),
+                Err(fault) => faults.push(fault),
+            }
+        }
+        // A list that tells nothing that can be used must not take away all that is held.
+        if whole && listings.is_empty() && !self.here.is_empty() {
+            return Err(format!("a whole list without a usable entry, {} faults", faults.len()));
+        }
+        if whole {
+            let all: BTreeSet<Server> = listings.iter().map(|listing| listing.server).collect();
+            self.moved.extend(self.here.difference(&all));
+            self.here.clear();
+        }
+        for Listing { server, state, .. } in &listings {
+            if *state == Listed::Gone {
+                self.here.remove(server);
+            } else {
+                self.here.insert(*server);
+            }
+            if *state != Listed::Ready || self.starts.contains_key(server) {
+                self.moved.insert(*server);
+            }
+        }
+        self.version = Some(version);
+        Ok(Told { whole, version, listings, faults })
+    }
+
+    fn entry(&mut self, now: Duration, wall: u64, entry: &Value, places: &Places) -> Result<Listing, String> {
+        let word = |name: &str| entry[name].as_str().ok_or_else(|| format!("{name} of {entry}: not a text"));
+        let name = word("name")?;
+        let state = match word("status")? {
+            "up" => Listed::Ready,
+            "draining" => Listed::Draining,
+            "removed" => Listed::Gone,
+            other => return Err(format!("status of {name}: {other:?}; allowed: up, draining, removed")),
+        };
+        let (zone, kind) = (places.zone(word("zone")?)?, places.kind(word("type")?)?);
+        let weight = entry["weight"].as_f64().unwrap_or(1.0);
+        if !(weight >= 0.0 && weight.is_finite()) {
+            return Err(format!("weight of {name}: {weight}; allowed: 0 or more"));
+        }
+        let address = word("address")?;
+        let address = address.parse().map_err(|_| format!("address of {name}: {address:?}"))?;
+        let server = self.names.index(name);
+        self.addresses.insert(server, address);
+        let age = self.age(now, wall, server, entry["since_ms"].as_u64().unwrap_or(0));
+        Ok(Listing { server, zone, kind, state, weight, age })
+    }
+
+    /// How long ago it started. A start that was heard of keeps its age on the pilot's clock, so that two
+    /// tellings never look like two starts.
+    fn age(&mut self, now: Duration, wall: u64, server: Server, since_ms: u64) -> Option<Duration> {
+        if since_ms == 0 {
+            return None;
+        }
+        let known = self.starts.get(&server).is_some_and(|start| start.since_ms == since_ms);
+        if !known {
+            let age = Duration::from_millis(wall.saturating_sub(since_ms));
+            self.starts.insert(server, Start { since_ms, age, heard: now });
+        }
+        self.starts.get(&server).map(|start| start.age + now.saturating_sub(start.heard))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/station.rs
@@ -0,0 +1,331 @@
+//! The core of a pilot on the platform: what arrives becomes calls of the decisions, and decisions become
+//! one message to each proxy concerned. Free of I/O and clock; nothing about servers, weights or visits
+//! is decided here.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lockcroft::{Decision, Finding, Pilot, Proxy, Server, Zone};
+use lockcroft_naming::{Places, Published};
+use serde_json::Value;
+use tracing::{debug, info, warn};
+
+use crate::berth::{Berth, Desk, Link};
+use crate::codec::{self, Bounds, Fault, Known, Message};
+use crate::config::Config;
+use crate::door::{COLLECTORS, Door, Knock};
+use crate::roster::Roster;
+
+/// What is to be done on sockets.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// Write; [`Station::written`] tells when all of it is out.
+    Write {
+        link: Link,
+        text: String,
+    },
+    /// Write what waits, then end the connection.
+    End {
+        link: Link,
+    },
+    /// End the connection at once.
+    Drop {
+        link: Link,
+    },
+    Probe {
+        server: Server,
+        address: SocketAddr,
+    },
+}
+
+/// Who is at the other end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Guest,
+    Collector(Zone),
+    Proxy(Proxy),
+}
+
+/// Counts for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sums {
+    pub messages: u64,
+    pub parts: u64,
+    pub spoilt: u64,
+    pub rejected: u64,
+    pub reports: u64,
+}
+
+pub struct Station {
+    pilot: Pilot,
+    places: Places,
+    bounds: Bounds,
+    /// Whether probes ask for the load report.
+    pub asks_load: bool,
+    roster: Roster,
+    published: Published,
+    berths: BTreeMap<Proxy, Berth>,
+    links: BTreeMap<Link, Role>,
+    door: Door,
+    touched: BTreeSet<Proxy>,
+    effects: VecDeque<Effect>,
+    pub sums: Sums,
+}
+
+impl Station {
+    pub fn new(config: &Config) -> Self {
+        let terms = config.terms.clone();
+        Station {
+            places: Places::read(&terms),
+            bounds: Bounds::read(&terms),
+            asks_load: terms.text("report.how") == Some("on_probe"),
+            roster: Roster::default(),
+            published: Published::default(),
+            berths: BTreeMap::new(),
+            links: BTreeMap::new(),
+            door: Door::new(config.sockets),
+            touched: BTreeSet::new(),
+            effects: VecDeque::new(),
+            sums: Sums::default(),
+            pilot: Pilot::new(terms, config.seed),
+        }
+    }
+
+    /// A telling of discovery, or the list of before the start. `wall` is the time in Unix milliseconds.
+    ///
+    /// # Errors
+    /// It can't be used; the list stays as it was.
+    pub fn listed(&mut self, now: Duration, wall: u64, value: &Value) -> Result<(), String> {
+        let told = self.roster.take(now, wall, value, &self.places)?;
+        for fault in &told.faults {
+            warn!(target: "lockcroft::list", fault, "an entry can't be used");
+        }
+        for entry in &told.listings {
+            let (name, age_ms) =
+                (self.roster.name(entry.server), entry.age.map(|age| age.as_millis() as u64));
+            debug!(target: "lockcroft::list", name, state = ?entry.state, age_ms, "listed");
+        }
+        let (version, whole, entries) = (told.version, told.whole, told.listings.len());
+        if entries > 0 {
+            info!(target: "lockcroft::list", version, whole, entries);
+        }
+        self.pilot.listed(now, told.whole, told.version, &told.listings);
+        Ok(())
+    }
+
+    /// The version of the list that is held.
+    pub fn version(&self) -> Option<u64> {
+        self.roster.version()
+    }
+
+    pub fn probed(&mut self, now: Duration, server: Server, finding: Finding, took: Duration) {
+        let name = self.roster.name(server);
+        debug!(target: "lockcroft::probe", name, ?finding, us = took.as_micros() as u64);
+        self.pilot.probed(now, server, finding, took);
+    }
+
+    pub fn knock(&self, now: Duration) -> Knock {
+        self.door.knock(now, self.roster.len())
+    }
+
+    pub fn entered(&mut self, now: Duration, link: Link) {
+        self.door.entered(now, link);
+        self.links.insert(link, Role::Guest);
+    }
+
+    /// The most bytes of a line on this connection.
+    pub fn line_most(&self, link: Link) -> usize {
+        match self.links.get(&link) {
+            Some(Role::Guest) | None => codec::FIRST_MOST,
+            Some(_) => codec::LINE_MOST,
+        }
+    }
+
+    /// A line came, without its end.
+    pub fn read(&mut self, now: Duration, link: Link, line: &[u8]) {
+        let Some(role) = self.links.get(&link).copied() else { return };
+        let known = Known { places: &self.places, roster: &self.roster, bounds: &self.bounds };
+        match (codec::read(line, &known), role) {
+            (Ok(Message::Alive), _) => {
+                self.effects.push_back(Effect::Write { link, text: codec::ALIVE.into() });
+            }
+            (Ok(Message::Collects { zone }), Role::Guest) => self.collects(link, zone),
+            (Ok(Message::Joins { proxy, zone, rate, fresh }), Role::Guest) => {
+                self.joins(now, link, proxy, zone, rate, fresh);
+            }
+            (Err(Fault::Unreadable(why) | Fault::Spoilt(why)), Role::Guest) => self.reject(link, &why),
+            (Ok(_), Role::Guest) => self.reject(link, "reports come after a joining"),
+            (Err(Fault::Unreadable(why)), _) => self.reject(link, &why),
+            (Err(Fault::Spoilt(why)), _) => self.spoilt(link, &why),
+            (Ok(Message::Met { server, tries, failed, took }), Role::Collector(_)) => {
+                self.sums.reports += 1;
+                let (name, ms) = (self.roster.name(server), took.as_millis() as u64);
+                debug!(target: "lockcroft::report", name, tries, failed, ms, "met");
+                self.pilot.reported(now, server, tries, failed, took);
+            }
+            (Ok(Message::Came { proxy, class, visits }), role)
+                if matches!(role, Role::Collector(_)) || role == Role::Proxy(proxy) =>
+            {
+                self.sums.reports += 1;
+                debug!(target: "lockcroft::report", proxy, class, visits, "came");
+                self.pilot.counted(proxy, class, visits);
+            }
+            (Ok(Message::Marked { proxy }), Role::Proxy(own)) if proxy == own => {}
+            (Ok(_), _) => self.spoilt(link, "nothing that is said here"),
+        }
+    }
+
+    fn spoilt(&mut self, link: Link, why: &str) {
+        self.sums.spoilt += 1;
+        debug!(target: "lockcroft::input", link, why, "spoilt message");
+    }
+
+    /// Says no, and ends the connection.
+    pub fn reject(&mut self, link: Link, why: &str) {
+        self.sums.rejected += 1;
+        debug!(target: "lockcroft::input", link, why, role = ?self.links.get(&link), "rejected");
+        self.effects.push_back(Effect::Write { link, text: codec::reject(why) });
+        self.effects.push_back(Effect::End { link });
+        self.leave(link);
+    }
+
+    fn collects(&mut self, link: Link, zone: Zone) {
+        let alike = self.links.iter().filter(|(_, role)| **role == Role::Collector(zone));
+        let alike: Vec<Link> = alike.map(|(link, _)| *link).collect();
+        if alike.len() >= COLLECTORS {
+            self.drop_link(alike[0]);
+        }
+        info!(target: "lockcroft::input", link, zone = self.places.zones[zone], "a collector joined");
+        self.links.insert(link, Role::Collector(zone));
+        self.door.joined(link);
+    }
+
+    fn joins(&mut self, now: Duration, link: Link, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
+        // A new stream may come before the old one is seen to end, which then ends for nobody.
+        let old = self.berths.get(&proxy).map(|berth| berth.link);
+        if let Some(old) = old {
+            self.drop_link(old);
+        }
+        info!(target: "lockcroft::input", link, proxy, fresh, rate, renews = old, "joined");
+        self.links.insert(link, Role::Proxy(proxy));
+        self.door.joined(link);
+        self.berths.insert(proxy, Berth::new(link, fresh));
+        self.pilot.joined(now, proxy, zone, rate, fresh);
+    }
+
+    fn drop_link(&mut self, link: Link) {
+        self.leave(link);
+        self.effects.push_back(Effect::Drop { link });
+    }
+
+    /// The connection ended, by whomever.
+    pub fn ended(&mut self, link: Link) {
+        self.leave(link);
+    }
+
+    fn leave(&mut self, link: Link) {
+        let Some(role) = self.links.remove(&link) else { return };
+        self.door.ended(link);
+        if let Role::Proxy(proxy) = role {
+            info!(target: "lockcroft::input", link, proxy, "left");
+            self.berths.remove(&proxy);
+            self.pilot.left(proxy);
+        }
+    }
+
+    /// All that was to be written to it is out.
+    pub fn written(&mut self, link: Link) {
+        if let Some(Role::Proxy(proxy)) = self.links.get(&link)
+            && let Some(berth) = self.berths.get_mut(proxy)
+        {
+            berth.busy = false;
+            self.touched.insert(*proxy);
+        }
+    }
+
+    /// When [`Station::decide`] has to be called at the latest.
+    pub fn next_due(&self) -> Duration {
+        let pilot = self.pilot.next_due();
+        self.door.next_due().map_or(pilot, |door| door.min(pilot))
+    }
+
+    /// Pulls decisions until there is none, and gives out what is to be done.
+    pub fn decide(&mut self, now: Duration) -> Vec<Effect> {
+        for link in self.door.overdue(now) {
+            self.reject(link, "no joining in time");
+        }
+        while let Some(decision) = self.pilot.next_decision(now) {
+            self.carry_out(decision);
+        }
+        self.send();
+        self.effects()
+    }
+
+    /// What is to be done at once.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        self.effects.drain(..).collect()
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        match decision {
+            Decision::Probe(server) => {
+                let address = self.roster.address(server);
+                self.effects.extend(address.map(|address| Effect::Probe { server, address }));
+            }
+            Decision::Weigh { table, server, weight } => {
+                let name = self.roster.name(server);
+                debug!(target: "lockcroft::decision", table, name, weight, "weigh");
+                self.published.weigh(table, server, weight);
+                self.touch(|berth| berth.on(table));
+            }
+            Decision::Bind { table, classes, proxy } => {
+                debug!(target: "lockcroft::decision", table, proxy, "bind");
+                if let Some(berth) = self.berths.get_mut(&proxy) {
+                    berth.bind(table, classes);
+                    self.touched.insert(proxy);
+                }
+            }
+            Decision::Withdraw { server, withdrawn } => {
+                let name = self.roster.name(server);
+                debug!(target: "lockcroft::decision", name, withdrawn, "withdraw");
+                self.published.withdraw(server, withdrawn);
+                let classes = self.places.classes.len();
+                self.berths.values_mut().for_each(|berth| berth.withdraw(server, withdrawn, classes));
+                self.touch(|_| true);
+            }
+            Decision::Admit { table, class, share, second_try } => {
+                debug!(target: "lockcroft::decision", table, class, share, second_try, "admit");
+                self.published.admit(table, class, share, second_try);
+                self.touch(|berth| berth.on(table));
+            }
+            Decision::Note { about, text } => {
+                let about = about.map(|server| self.roster.name(server));
+                info!(target: "lockcroft::note", about, "{text}");
+            }
+        }
+    }
+
+    fn touch(&mut self, meant: impl Fn(&Berth) -> bool) {
+        let meant = self.berths.iter().filter(|(_, berth)| meant(berth));
+        self.touched.extend(meant.map(|(proxy, _)| *proxy));
+    }
+
+    /// All that was decided at one time goes out as one message to each proxy concerned.
+    fn send(&mut self) {
+        let desk = Desk { published: &self.published, roster: &self.roster, classes: &self.places.classes };
+        for proxy in std::mem::take(&mut self.touched) {
+            let Some(berth) = self.berths.get_mut(&proxy).filter(|berth| !berth.busy) else { continue };
+            let parts = berth.message(&desk);
+            if parts.is_empty() {
+                continue;
+            }
+            berth.busy = true;
+            (self.sums.messages, self.sums.parts) =
+                (self.sums.messages + 1, self.sums.parts + parts.len() as u64);
+            let text = codec::message(parts);
+            debug!(target: "lockcroft::order", proxy, bytes = text.len(), "sent");
+            self.effects.push_back(Effect::Write { link: berth.link, text });
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/station/guests.rs
@@ -0,0 +1,147 @@
+//! Who may speak, and what is not heard.
+
+use expect_test::expect;
+
+use crate::stage::Stage;
+
+#[test]
+fn spoilt_messages_cost_themselves_and_unreadable_ones_the_connection() {
+    let mut stage = Stage::new();
+    stage.join(1, 3, true).enter(2).say(2, r#"{"t":"telemetry","locality":"a"}"#);
+    let good = r#"{"t":"upstream_stats","locality":"a","endpoint":"s-a","total":9,"errors":1,"rtt":41.7,"interval":1000.0}"#;
+    for (from, to) in [
+        ("\"total\":9", "\"total\":-9"),
+        ("\"total\":9", "\"total\":\"9\""),
+        ("\"total\":9,", ""),
+        ("\"errors\":1", "\"errors\":10"),
+        ("\"rtt\":41.7", "\"rtt\":4e7"),
+        ("\"rtt\":41.7", "\"rtt\":null"),
+        ("s-a", "s-never"),
+        ("\"locality\":\"a\"", "\"locality\":\"z\""),
+        ("1000.0", "0"),
+        ("1000.0", "1000.0,\"metrics\":3"),
+        ("upstream_stats", "assign"),
+    ] {
+        stage.say(2, &good.replace(from, to));
+    }
+    assert_eq!((stage.station.sums.spoilt, stage.station.sums.reports), (11, 0));
+    stage.say(2, good);
+    for line in [
+        r#"{"t":"done","node":3,"nonce":"x","latency":1}"#,
+        r#"{"t":"client_stats","node":4,"route":"look","total":9,"errors":0,"interval":1000.0}"#,
+        r#"{"t":"client_stats","node":3,"route":"cook","total":9,"errors":0,"interval":1000.0}"#,
+        r#"{"t":"attach","node":4,"locality":"a","w":1,"cold":true}"#,
+    ] {
+        stage.say(1, line);
+    }
+    stage.say(1, r#"{"t":"client_stats","node":3,"route":"look","total":9,"errors":0,"interval":1000.0}"#);
+    assert_eq!((stage.station.sums.spoilt, stage.station.sums.reports), (15, 2));
+    expect![[""]].assert_eq(&stage.trace);
+    stage.say(1, "{\"t\":\"done\"").say(2, "GET / HTTP/1.1");
+    expect![[r#"
+        0.0 1 < {"reason":"EOF while parsing an object at line 1 column 11","t":"reject"}
+        0.0 1 ends
+        0.0 2 < {"reason":"expected value at line 1 column 1","t":"reject"}
+        0.0 2 ends
+    "#]]
+    .assert_eq(&stage.trace);
+}
+
+#[test]
+fn strangers_are_told_no() {
+    let mut stage = Stage::new();
+    for (link, line) in (1..).zip([
+        "GET /discovery/hosts HTTP/1.1",
+        "\u{1}\u{2}",
+        "[]",
+        r#"{"t":"attach","node":8,"locality":"a","w":1,"cold":true}"#,
+        r#"{"t":"attach","node":-1,"locality":"a","w":1,"cold":true}"#,
+        r#"{"t":"attach","node":1,"locality":"z","w":1,"cold":true}"#,
+        r#"{"t":"telemetry","locality":"z"}"#,
+        r#"{"t":"client_stats","node":3,"route":"look","total":9,"errors":0,"interval":1000.0}"#,
+        r#"{"t":"assign","full":true}"#,
+    ]) {
+        stage.enter(link).say(link, line);
+    }
+    expect![[r#"
+        0.0 1 < {"reason":"expected value at line 1 column 1","t":"reject"}
+        0.0 1 ends
+        0.0 2 < {"reason":"expected value at line 1 column 1","t":"reject"}
+        0.0 2 ends
+        0.0 3 < {"reason":"not an object","t":"reject"}
+        0.0 3 ends
+        0.0 4 < {"reason":"node: 8; allowed: below 8","t":"reject"}
+        0.0 4 ends
+        0.0 5 < {"reason":"node: -1; allowed: a number from 0 to 10000000","t":"reject"}
+        0.0 5 ends
+        0.0 6 < {"reason":"unknown zone \"z\"","t":"reject"}
+        0.0 6 ends
+        0.0 7 < {"reason":"unknown zone \"z\"","t":"reject"}
+        0.0 7 ends
+        0.0 8 < {"reason":"reports come after a joining","t":"reject"}
+        0.0 8 ends
+        0.0 9 < {"reason":"t: \"assign\" is nothing that a pilot is told","t":"reject"}
+        0.0 9 ends
+    "#]]
+    .assert_eq(&stage.trace);
+}
+
+#[test]
+fn guests_go_after_a_while_and_those_who_joined_stay() {
+    let mut stage = Stage::new();
+    stage.enter(1).say(1, r#"{"t":"hb"}"#).join(2, 3, true);
+    expect![[r#"
+        0.0 1 < {"t":"hb_ok"}
+    "#]]
+    .assert_eq(&stage.run_to(1.0));
+    stage.enter(3);
+    expect![[r#"
+        1.5 1 < {"reason":"no joining in time","t":"reject"}
+        1.5 1 ends
+    "#]]
+    .assert_eq(&stage.run_to(2.4));
+    expect![[r#"
+        2.5 3 < {"reason":"no joining in time","t":"reject"}
+        2.5 3 ends
+    "#]]
+    .assert_eq(&stage.run_to(2.6));
+}
+
+#[test]
+fn where_descriptors_run_short_the_oldest_guest_makes_room() {
+    let mut stage = Stage::new();
+    stage.join(1, 3, true);
+    // 60 descriptors, 32 kept and one for each of four servers: room for 24.
+    (2..25).for_each(|link| {
+        stage.enter(link);
+    });
+    let knock = |stage: &Stage| format!("{:?}", stage.station.knock(stage.now));
+    assert_eq!(knock(&stage), "Later(300ms)");
+    stage.run_to(0.3);
+    assert_eq!(knock(&stage), "Instead(2)");
+    stage.station.ended(2);
+    assert_eq!(knock(&stage), "Enter");
+}
+
+#[test]
+fn collectors_that_come_again_and_again_do_not_add_up() {
+    let mut stage = Stage::new();
+    (1..=4).for_each(|link| {
+        stage.enter(link).say(link, r#"{"t":"telemetry","locality":"a"}"#);
+    });
+    expect![[r#"
+        0.0 1 is dropped
+    "#]]
+    .assert_eq(&stage.trace);
+}
+
+#[test]
+fn a_server_that_refuses_probes_leaves_the_table() {
+    let mut stage = Stage::new();
+    stage.join(1, 3, true).run_to(6.0);
+    stage.refuses = Some(1);
+    expect![[r#"
+        7.2 1 < {"t":"assign","endpoints":[["s-bb",0.0]]}
+    "#]]
+    .assert_eq(&stage.run_to(9.0));
+}
--- /dev/null
+++ b/crates/platform/tests/station/main.rs
@@ -0,0 +1,6 @@
+//! What goes out on streams for what comes in, in made-up time and without a socket.
+
+mod guests;
+mod lists;
+mod orders;
+mod stage;
--- /dev/null
+++ b/crates/platform/tests/station/stage.rs
@@ -0,0 +1,129 @@
+//! A small stage: a station with two classes and four servers in made-up time, and a trace of what it does.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use lockcroft::Finding;
+use lockcroft_platform::{Config, Effect, Link, Station};
+use serde_json::{Value, json};
+
+/// Unix milliseconds at the start of the stage.
+pub const WALL: u64 = 1_800_000_000_000;
+
+pub fn config() -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 60}, "known": null,
+        "settings": {
+            "zones": ["a", "b"], "kinds": ["std"], "fleet_size": 1, "policy_limits": {"probes": true},
+            "report": {"how": "on_probe"},
+            "classes": [
+                {"name": "look", "target_us": 600_000, "deadline_us": 2_000_000, "worth": 3.0},
+                {"name": "book", "target_us": 500_000, "deadline_us": 1_200_000, "worth": 1.0},
+            ],
+            "rules": {"cold_from": 0.25, "cold_us": 10_000_000, "drain_grace_us": 1_500_000},
+            "specifics": {"agents": 8, "egress_per_s": 5000.0, "queue_cap": 5000.0, "cycle_us": 1_000_000,
+                "propagation_us": 200_000, "overhead": 4.0, "counted_over_us": 10_000_000, "reloads_max": 30,
+                "min_conn_cap": 400.0},
+        },
+    })
+}
+
+pub fn entry(name: &str, status: &str, since_ms: u64) -> Value {
+    json!({"name": name, "address": format!("127.0.0.1:{}", 100 + name.len()), "zone": "a", "type": "std",
+        "group": 1, "status": status, "weight": 1.0, "since_ms": since_ms})
+}
+
+pub fn list(index: u64, whole: bool, entries: &[Value]) -> Value {
+    json!({"index": index, "snapshot": whole, "endpoints": entries})
+}
+
+pub struct Stage {
+    pub station: Station,
+    pub now: Duration,
+    pub trace: String,
+    /// Streams that take nothing: their messages are never out.
+    pub stalled: Vec<Link>,
+    /// The server whose probes are refused.
+    pub refuses: Option<usize>,
+}
+
+impl Stage {
+    /// Four servers, of long ago, on the list.
+    pub fn new() -> Self {
+        let mut stage = Stage::bare();
+        let entries = ["s-a", "s-bb", "s-ccc", "s-dddd"].map(|name| entry(name, "up", 0));
+        stage.list(&list(0, true, &entries));
+        stage
+    }
+
+    pub fn bare() -> Self {
+        let config = Config::read(&config().to_string()).expect("sound");
+        Stage {
+            station: Station::new(&config),
+            now: Duration::ZERO,
+            trace: String::new(),
+            stalled: Vec::new(),
+            refuses: None,
+        }
+    }
+
+    pub fn list(&mut self, value: &Value) {
+        let wall = WALL + self.now.as_millis() as u64;
+        if let Err(fault) = self.station.listed(self.now, wall, value) {
+            let _ = writeln!(self.trace, "{:.1} refused: {fault}", self.now.as_secs_f64());
+        }
+    }
+
+    pub fn enter(&mut self, link: Link) -> &mut Self {
+        self.station.entered(self.now, link);
+        self
+    }
+
+    pub fn say(&mut self, link: Link, line: &str) -> &mut Self {
+        self.station.read(self.now, link, line.as_bytes());
+        let effects = self.station.effects();
+        self.take(effects);
+        self
+    }
+
+    pub fn join(&mut self, link: Link, proxy: usize, fresh: bool) -> &mut Self {
+        let line = json!({"t": "attach", "node": proxy, "locality": "a", "w": 5.0, "cold": fresh});
+        self.enter(link).say(link, &line.to_string())
+    }
+
+    /// Runs to this time in steps of 50 ms and gives out what happened since the last call.
+    pub fn run_to(&mut self, seconds: f64) -> String {
+        while self.now.as_secs_f64() < seconds {
+            self.now += Duration::from_millis(50);
+            let effects = self.station.decide(self.now);
+            self.take(effects);
+        }
+        std::mem::take(&mut self.trace)
+    }
+
+    fn take(&mut self, effects: Vec<Effect>) {
+        let at = self.now.as_secs_f64();
+        for effect in effects {
+            match effect {
+                Effect::Write { link, text } => {
+                    let _ = text.lines().try_for_each(|line| writeln!(self.trace, "{at:.1} {link} < {line}"));
+                    if !self.stalled.contains(&link) {
+                        self.station.written(link);
+                    }
+                }
+                Effect::End { link } => {
+                    let _ = writeln!(self.trace, "{at:.1} {link} ends");
+                }
+                Effect::Drop { link } => {
+                    let _ = writeln!(self.trace, "{at:.1} {link} is dropped");
+                }
+                Effect::Probe { server, .. } => {
+                    let refused = self.refuses == Some(server);
+                    let finding = if refused { Finding::Refused } else { Finding::Passed(Some(0.5)) };
+                    self.station.probed(self.now, server, finding, Duration::from_millis(1));
+                }
+            }
+        }
+    }
+}
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -7,10 +7,9 @@
 use std::time::Duration;
 
 use lockcroft::{Decision, Finding, Listed, Listing, Pilot};
-use lockcroft_naming::{Names, Places};
+use lockcroft_naming::{Names, Places, read_settings};
 
 use crate::codec::Line;
-use crate::terms;
 
 /// One pilot and what belongs to the wire alone: names, the clock at its start, its timer.
 struct Instance {
@@ -287,7 +286,7 @@
 
 impl Instance {
     fn new(seed: u64, settings: &str, clock: Duration) -> Result<Self, String> {
-        let terms = terms::read(settings)?;
+        let terms = read_settings(settings)?;
         let slices = terms.number("fleet.slices").unwrap_or(0.0) > 0.0;
         let idle = "the keys are in slices, for which lockcroft lays no tables yet: idle";
         let idle = slices.then(|| ("NOTE_DOWN", idle.to_string()));
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,7 +3,6 @@
 
 mod codec;
 mod host;
-mod terms;
 
 use std::io::{self, BufWriter};
 use std::process::ExitCode;
