Read load reports by the name the settings give, so that the module sees load

Checked: the path asked is right (/metrics/load, report.how on_probe), the body is "busy=0.61"; excluded: spoilt bodies, probes that failed (503 came from draining servers only). Faulty lines: codec.rs, load(): it looked for "util=" alone, the word of the protocol's page; the settings list "busy" in report.fields. Both are read now. Without load the module's rule that an idle server's lateness is no load could never act.

--- a/crates/platform/src/codec.rs
+++ b/crates/platform/src/codec.rs
@@ -177,10 +177,14 @@
     }
 }
 
+/// Names of the share of cores in use: as the settings list it, and as the protocol's page has it.
+const LOADS: [&str; 2] = ["busy", "util"];
+
 /// The share of its cores in use out of a load report, where it has one that can be true.
 pub fn load(report: &str) -> Option<f64> {
-    let busy = report.split(',').find_map(|pair| pair.trim().strip_prefix("util="))?;
-    busy.parse().ok().filter(|load: &f64| load.is_finite() && *load >= 0.0)
+    let mut pairs = report.split(',').filter_map(|pair| pair.trim().split_once('='));
+    let (_, busy) = pairs.find(|(name, _)| LOADS.contains(name))?;
+    busy.trim().parse().ok().filter(|load: &f64| load.is_finite() && *load >= 0.0)
 }
 
 pub const ALIVE: &str = "{\"t\":\"hb_ok\"}\n";
@@ -234,3 +238,24 @@
     // Texts, numbers and lists of them always have a form in JSON.
     serde_json::to_string(value).unwrap_or_default() + "\n"
 }
+
+#[cfg(test)]
+mod tests {
+    use super::load;
+
+    #[test]
+    fn load_reports_by_either_name() {
+        for (report, wanted) in [
+            ("busy=0", Some(0.0)),
+            ("inflight=7,queue=2,util=0.61", Some(0.61)),
+            ("rif=7, busy=0.97\n", Some(0.97)),
+            ("busy=-1", None),
+            ("busy=NaN", None),
+            ("busy=", None),
+            ("busybody=1", None),
+            ("", None),
+        ] {
+            assert_eq!(load(report), wanted, "{report:?}");
+        }
+    }
+}
--- a/crates/platform/src/io/mod.rs
+++ b/crates/platform/src/io/mod.rs
@@ -117,6 +117,7 @@
     spawn_local(discovery::follow(follows, shared.clone()));
     spawn_local(tell_sums(shared.clone()));
     info!(target: "lockcroft::platform", name = config.name, listen = %config.listen, "started");
+    tracing::debug!(target: "lockcroft::platform", terms = ?config.terms.0, "terms");
     let gather = config.terms.time("tick_us").unwrap_or(GATHER);
     loop {
         let due = shared.station.borrow().next_due();
