Let levels follow told load, and half-warm servers with room into uneasy parts

Seen on sockets, once the module heard load: after a jam servers told 0.36 of their cores in use while 0.40 of a class was let in, for up to 35 s (lateness between ROOM and LATE moved no level). Faulty lines, src/logic.rs: shed() grew levels under ROOM only; measure() took any lateness of a server over 60% load as load; desired() gave a cold server nothing while its part is uneasy, and want of servers made it uneasy. Change: lateness counts for no more than the server's own load accounts for (load over 70%, times LATE, below 95%); levels grow whenever lateness is under LATE; past half its warm-up a server that tells it is not full has half its share in an uneasy part.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,9 +51,9 @@
 /// Mean time over contract time from which servers count as late, and below which there is room.
 const LATE: f64 = 0.4;
 const ROOM: f64 = 0.28;
-/// Shares of a server's cores in use: from here on it will be late, and below this it idles.
+/// Shares of a server's cores in use: from here on it will be late, and up to this all may come in.
 const BUSY: f64 = 0.95;
-const IDLE: f64 = 0.6;
+const COMFORT: f64 = 0.7;
 /// For its table a server is at most so late: one slow beyond measure must not close all others.
 const LATE_MOST: f64 = 1.1;
 /// A server is late on its own only if it is so much worse than the fleet.
@@ -73,6 +73,9 @@
 const SETTLE: f64 = 1.5;
 /// The fleet stays uneasy for this part of the time in which a server warms up.
 const UNEASY: f64 = 0.5;
+/// From this part of its warm-up on, a server has so much of its share even while its part is uneasy.
+const GROWN: f64 = 0.5;
+const WARY: f64 = 0.5;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
 const COMMON: f64 = 0.5;
 const BINDING: f64 = 0.75;
@@ -505,7 +508,7 @@
                 let cut = out.min(work * (was - ALWAYS_LEFT).max(0.0));
                 out -= cut;
                 gate.level = was - cut / work;
-            } else if late < ROOM {
+            } else if late < LATE {
                 gate.level = (was * (LATE / late.max(1e-9)).min(SHED_BACK)).min(1.0);
             }
         }
@@ -525,9 +528,10 @@
         for table in &mut self.tables {
             let lines = table.lines.iter().map(|(server, weight)| (&self.servers[server], weight));
             let told = lines.filter(|(known, _)| known.recent.tries >= 1.0 && !known.withdrawn);
-            // Lateness of a server that tells that it is idle is not load: to refuse visits mends nothing.
-            let idle = |known: &Known| known.load.filter(|load| *load < IDLE).map(|load| load * LATE);
-            let late = |known: &Known| known.late(contract).min(idle(known).unwrap_or(LATE_MOST));
+            // Lateness beyond what a server's own load accounts for is not mended by refusing visits.
+            let room = |known: &Known| known.load.filter(|load| *load < BUSY).map(|load| load / COMFORT);
+            let most = |known: &Known| room(known).map_or(LATE_MOST, |part| part * LATE);
+            let late = |known: &Known| known.late(contract).min(most(known));
             let part = |(known, weight): (&Known, &f64)| (weight * late(known), *weight);
             let (sum, all) = told.map(part).fold((0.0, 1e-9), |(a, b), (c, d)| (a + c, b + d));
             table.late = sum / all;
@@ -725,7 +729,12 @@
         // Where weights are fixed by the terms, relief only learns what it would do.
         let fixed = self.terms.flag("rules.fixed_weights");
         let eased = |known: &Known| if fixed { 1.0 } else { known.relief * kept(known) };
-        let part = |known: &Known| if carries(known) { eased(known) } else { 0.0 };
+        // With half its warm-up behind it, one that tells that it is not full may take a little all the
+        // same: a part that is uneasy for want of servers would else keep out those that it needs.
+        let grown = |known: &Known| known.counter == Some(TOP) && known.warmth(now, 0.0) >= GROWN;
+        let free = |known: &Known| grown(known) && known.load.is_some_and(|load| load < BUSY);
+        let wary = |known: &Known| if free(known) { WARY } else { 0.0 };
+        let part = |known: &Known| eased(known) * if carries(known) { 1.0 } else { wary(known) };
         let full = |known: &Known| listed(known, part(known));
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -289,6 +289,51 @@
     expect![""].assert_eq(&trace.said(&["admit"]));
 }
 
+/// Loss of half a day: after a jam servers told that they had room, and their answers stayed a little
+/// late; levels between the two marks never came back.
+#[test]
+fn levels_come_back_by_what_servers_tell_of_their_load() {
+    let mut stage = Stage::new(3);
+    stage.health.fill(Finding::Passed(Some(0.99)));
+    stage.join(0).report_to(8000, &[WELL; 3]).report_to(12_000, &[(20, 0, 900); 3]).quiet();
+    stage.health.fill(Finding::Passed(Some(0.6)));
+    let trace = stage.report_to(20_000, &[(20, 0, 500); 3]).said(&["admit"]);
+    expect![[r#"
+        14.0 class 1: admit 0.45
+        14.0 class 0: admit 0.45
+        16.0 class 1: admit 0.55
+        16.0 class 0: admit 0.55
+        18.0 class 1: admit 0.65
+        18.0 class 0: admit 0.65
+        20.0 class 1: admit 0.8
+        20.0 class 0: admit 0.8
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// Loss of a part: replacements sat idle for as long as they warmed up, as those that burned for want
+/// of them made it uneasy. Who is full, or tells nothing, stays out for the rule on cold servers.
+#[test]
+fn half_warm_server_that_tells_room_comes_into_an_uneasy_part() {
+    for (load, comes) in [(Some(0.1), true), (Some(0.99), false), (None, false)] {
+        let mut stage = Stage::new(3);
+        let jam = [(20, 0, 900), (0, 0, 0), (20, 0, 900)];
+        stage.health.fill(Finding::Passed(Some(0.99)));
+        stage
+            .join(0)
+            .report_to(8000, &[WELL; 3])
+            .list(&[state(1, Listed::Gone)])
+            .report_to(12_000, &jam)
+            .quiet();
+        stage.health[1] = Finding::Passed(load);
+        stage.list(&[started(1, 0)]);
+        let early = stage.report_to(16_500, &jam).said(&["table 0: server 1"]);
+        assert_eq!(early, "", "{load:?}");
+        let late = stage.report_to(20_000, &jam).said(&["table 0: server 1"]);
+        assert_eq!(!late.is_empty(), comes, "{load:?}: {late}");
+    }
+}
+
 /// Found by the daemon's property test: all servers drain in the hold and come back. Withdrawals wait
 /// for all proxies to be bound, and binding waited for a line that only came after the withdrawals.
 #[test]
