Test the platform pilot as a process; name faults of its configuration; mend two flaky tests

Need: the front had tests of its core only; a half-written file after SIGHUP was given up; a probe's answer from a former address counted; a missing LB_CONFIG was told by the command line's words. Change: a scripted platform on loopback drives `lockcroft platform` through a joining in pieces, a second stream, a drain, a restarted endpoint, garbage, an endless line, 100 mute connections under 64 descriptors, SIGHUP with a half- written and a whole file, SIGTERM. Properties: lines in any pieces, any messages from anybody. A file is read 10 times in 2 s after SIGHUP; what a former address says is taken as turned away.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -12,7 +12,7 @@
 pub struct Platform {
     /// What the platform tells this pilot, as JSON.
     #[arg(long, env = "LB_CONFIG")]
-    config: PathBuf,
+    config: Option<PathBuf>,
     /// Levels of the log, as info,lockcroft::order=debug
     #[arg(long, env = "LOCKCROFT_LOG", default_value = "info")]
     log: String,
@@ -26,7 +26,11 @@
 
 impl Platform {
     pub fn run(self) -> ExitCode {
-        let config = io::open(&self.config);
+        let path = self.config.unwrap_or_default();
+        let config = match path.as_os_str().is_empty() {
+            true => Err("LB_CONFIG: not set, nor --config; allowed: the path of the configuration".into()),
+            false => io::open(&path),
+        };
         if self.json {
             println!("{}", json!({"fault": config.as_ref().err()}));
         }
@@ -41,7 +45,7 @@
             return ExitCode::SUCCESS;
         }
         let logs = lockcroft_pilot::start_logs(&LogTerms { levels: Some(self.log), json: false });
-        match logs.and_then(|_logs| io::serve(&self.config, config)) {
+        match logs.and_then(|_logs| io::serve(&path, config)) {
             Ok(()) => ExitCode::SUCCESS,
             Err(fault) => {
                 eprintln!("lockcroft: {fault}");
--- a/crates/cli/tests/daemon/main.rs
+++ b/crates/cli/tests/daemon/main.rs
@@ -3,4 +3,5 @@
 mod days;
 mod files;
 mod help;
+mod platform;
 mod sockets;
--- a/crates/memory/src/age.rs
+++ b/crates/memory/src/age.rs
@@ -95,7 +95,8 @@
     // To name one that is gone costs a line at those who hold it, whenever that was.
     let out = (note.gone || note.draining) && (ahead || since < GONE_MOST);
     let relief = 1.0 - (1.0 - note.relief) * 0.5_f64.powf(periods / RELIEF_HALF);
-    let relief = if ahead || relief > NEARLY { 1.0 } else { relief };
+    // Rounding must not take a little more from a server than was noted.
+    let relief = if ahead || relief > NEARLY { 1.0 } else { relief.max(note.relief) };
     // A warm-up that ended meanwhile has ended; one that would last longer than any is not believed beyond that.
     let warms = left(note.warm_ms).min(rules.warm_within);
     let started = Duration::from_millis(now_ms.saturating_sub(note.started_ms)).min(rules.warm_within);
--- a/crates/memory/src/disk.rs
+++ b/crates/memory/src/disk.rs
@@ -41,7 +41,7 @@
     /// The file that is being written, kept open.
     open: Option<(String, File)>,
     /// Held while this lives; none for one that only reads.
-    _lock: Option<File>,
+    lock: Option<File>,
 }
 
 /// The file whose lock the writer holds.
@@ -56,12 +56,23 @@
         fs::create_dir_all(path)?;
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join(LOCK))?;
         flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
-        Ok(Folder { path: path.into(), open: None, _lock: Some(lock) })
+        Ok(Folder { path: path.into(), open: None, lock: Some(lock) })
     }
 
     /// For those who only read, whoever writes.
     pub fn look(path: &Path) -> Self {
-        Folder { path: path.into(), open: None, _lock: None }
+        Folder { path: path.into(), open: None, lock: None }
+    }
+}
+
+impl Drop for Folder {
+    /// Closing is not enough: a process that was forked meanwhile has the lock's file open until it runs
+    /// its program.
+    fn drop(&mut self) {
+        if let Some(lock) = &self.lock {
+            // Nothing more can be done here, and the end of the process ends it anyway.
+            let _ = flock(lock, FlockOperation::Unlock);
+        }
     }
 }
 
--- a/crates/memory/tests/age.rs
+++ b/crates/memory/tests/age.rs
@@ -71,6 +71,12 @@
     assert!(step.relief < 0.31 && step.warming.is_some(), "{step:?}");
 }
 
+#[test]
+fn rounding_takes_nothing_from_a_server() {
+    let note = ServerNote { relief: 0.25920589386477416, ..ServerNote::default() };
+    assert_eq!(one(NOW, &note, NOW).map(|server| server.relief), Some(note.relief));
+}
+
 #[test]
 fn what_was_well_is_not_told() {
     let well = ServerNote { counter: Some(4), relief: 1.0, ..ServerNote::default() };
--- a/crates/platform/src/io/links.rs
+++ b/crates/platform/src/io/links.rs
@@ -15,6 +15,7 @@
 use super::Shared;
 use crate::berth::Link;
 use crate::door::Knock;
+use crate::lines;
 use crate::station::Effect;
 
 /// Room for what is read at a time.
@@ -141,10 +142,8 @@
 /// Hands whole lines on; the rest stays. A line without end is nothing that can be read.
 fn take_lines(inbox: &mut BytesMut, link: Link, shared: &Rc<Shared>) {
     let mut station = shared.station.borrow_mut();
-    while let Some(end) = inbox.iter().position(|byte| *byte == b'\n') {
-        let line = inbox.split_to(end + 1);
-        let line = line[..end].strip_suffix(b"\r").unwrap_or(&line[..end]);
-        station.read(shared.now(), link, line);
+    while let Some(line) = lines::next(inbox) {
+        station.read(shared.now(), link, &line);
     }
     if inbox.len() > station.line_most(link) {
         station.reject(link, "a message without end");
--- a/crates/platform/src/io/mod.rs
+++ b/crates/platform/src/io/mod.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -29,6 +29,9 @@
 const BIND_AGAIN: Duration = Duration::from_millis(50);
 /// What happens within so long is decided on together, where the settings state no interval.
 const GATHER: Duration = Duration::from_millis(5);
+/// A file that can't be used after SIGHUP is read so often, with so long between.
+const READ_AGAIN: usize = 10;
+const READ_PAUSE: Duration = Duration::from_millis(200);
 /// So often a line of sums is logged.
 const SUMS: Duration = Duration::from_secs(5);
 
@@ -66,7 +69,7 @@
                     spawn_local(async move {
                         let asks_load = shared.station.borrow().asks_load;
                         let (finding, took) = probes::probe(address, asks_load).await;
-                        shared.station.borrow_mut().probed(shared.now(), server, finding, took);
+                        shared.station.borrow_mut().probed(shared.now(), server, address, finding, took);
                         shared.act();
                     });
                 }
@@ -117,13 +120,14 @@
     spawn_local(discovery::follow(follows, shared.clone()));
     spawn_local(tell_sums(shared.clone()));
     info!(target: "lockcroft::platform", name = config.name, listen = %config.listen, "started");
-    tracing::debug!(target: "lockcroft::platform", terms = ?config.terms.0, "terms");
     let gather = config.terms.time("tick_us").unwrap_or(GATHER);
     loop {
         let due = shared.station.borrow().next_due();
         tokio::select! {
             _ = ends.recv() => break,
-            _ = reloads.recv() => reload(path, &at),
+            _ = reloads.recv() => {
+                spawn_local(reload(path.to_path_buf(), at.clone()));
+            }
             () = shared.news.notified() => sleep(gather).await,
             () = sleep_until((shared.start + due).into()) => {}
         }
@@ -146,15 +150,19 @@
 }
 
 /// The address of discovery may change while a pilot runs; the rest holds from start to end. A file that
-/// can't be used changes nothing.
-fn reload(path: &Path, at: &watch::Sender<SocketAddr>) {
-    match open(path) {
-        Ok(config) => {
-            let changed =
-                at.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
-            info!(target: "lockcroft::platform", discovery = %config.discovery, changed, "read again");
+/// can't be used changes nothing; as it may be half written, it is read a few times more.
+async fn reload(path: PathBuf, at: watch::Sender<SocketAddr>) {
+    for _ in 0..READ_AGAIN {
+        match open(&path) {
+            Ok(config) => {
+                let new = config.discovery;
+                let changed = at.send_if_modified(|now| std::mem::replace(now, new) != new);
+                info!(target: "lockcroft::platform", discovery = %new, changed, "read again");
+                return;
+            }
+            Err(fault) => warn!(target: "lockcroft::platform", fault, "what was read before stays"),
         }
-        Err(fault) => warn!(target: "lockcroft::platform", fault, "what was read before stays"),
+        sleep(READ_PAUSE).await;
     }
 }
 
--- a/crates/platform/src/io/probes.rs
+++ b/crates/platform/src/io/probes.rs
@@ -25,7 +25,6 @@
     let Ok(mut line) = Line::open(address).await else { return Finding::Refused };
     match line.get(path, true, REPORT_MOST).await {
         Ok(answer) if answer.status.is_success() => {
-            debug!(target: "lockcroft::probe", path, body = ?answer.body, %address);
             Finding::Passed(load(&String::from_utf8_lossy(&answer.body)))
         }
         Ok(answer) => {
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -119,8 +119,19 @@
         self.roster.version()
     }
 
-    pub fn probed(&mut self, now: Duration, server: Server, finding: Finding, took: Duration) {
+    /// A probe of this address ended.
+    pub fn probed(
+        &mut self,
+        now: Duration,
+        server: Server,
+        address: SocketAddr,
+        finding: Finding,
+        took: Duration,
+    ) {
         let name = self.roster.name(server);
+        // What a former address says is nothing about the server that has moved on.
+        let still = self.roster.address(server) == Some(address);
+        let finding = if still { finding } else { Finding::TurnedAway };
         debug!(target: "lockcroft::probe", name, ?finding, us = took.as_micros() as u64);
         self.pilot.probed(now, server, finding, took);
     }
--- a/crates/platform/tests/station/lists.rs
+++ b/crates/platform/tests/station/lists.rs
@@ -53,3 +53,14 @@
     let again = stage.run_to(12.0);
     assert!(!again.contains(r#"["s-a",0.0]"#), "{again}");
 }
+
+#[test]
+fn what_a_former_address_says_moves_nothing() {
+    let mut stage = Stage::new();
+    stage.join(1, 3, true).run_to(6.0);
+    stage.former = true;
+    stage.refuses = Some(0);
+    expect![[""]].assert_eq(&stage.run_to(12.0));
+    stage.former = false;
+    assert!(stage.run_to(16.0).contains(r#"["s-a",0.0]"#));
+}
--- a/crates/platform/tests/station/main.rs
+++ b/crates/platform/tests/station/main.rs
@@ -3,4 +3,5 @@
 mod guests;
 mod lists;
 mod orders;
+mod pieces;
 mod stage;
--- /dev/null
+++ b/crates/platform/tests/station/pieces.rs
@@ -0,0 +1,67 @@
+//! Any bytes, in any pieces.
+
+use bytes::BytesMut;
+use lockcroft_platform::next_line;
+use proptest::prelude::*;
+
+use crate::stage::Stage;
+
+/// Messages as they should be, some of which have a byte changed, and bytes that are none.
+fn any_line() -> impl Strategy<Value = Vec<u8>> {
+    let good = prop_oneof![
+        Just(r#"{"t":"hb"}"#),
+        Just(r#"{"t":"attach","node":5,"locality":"a","w":21.5,"cold":true}"#),
+        Just(r#"{"t":"telemetry","locality":"a"}"#),
+        Just(r#"{"t":"done","node":3,"nonce":905,"latency":310.4}"#),
+        Just(r#"{"t":"client_stats","node":3,"route":"look","total":19,"errors":0,"interval":1000.0}"#),
+        Just(
+            r#"{"t":"upstream_stats","locality":"a","endpoint":"s-a","total":9,"errors":1,"rtt":4,"interval":9}"#
+        ),
+    ];
+    let changed = (good, any::<prop::sample::Index>(), any::<u8>(), any::<bool>());
+    let changed = changed.prop_map(|(line, at, byte, change)| {
+        let mut line = line.as_bytes().to_vec();
+        let at = at.index(line.len());
+        line[at] = if change { byte } else { line[at] };
+        line
+    });
+    prop_oneof![4 => changed, 1 => prop::collection::vec(any::<u8>(), 0..60)]
+}
+
+proptest! {
+    #[test]
+    fn pieces_make_no_difference(bytes in prop::collection::vec(prop_oneof![Just(b'\n'), Just(b'\r'), any::<u8>()], 0..200),
+            cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..8)) {
+        let lines = |pieces: &[&[u8]]| {
+            let (mut inbox, mut lines) = (BytesMut::new(), Vec::new());
+            for piece in pieces {
+                inbox.extend_from_slice(piece);
+                while let Some(line) = next_line(&mut inbox) {
+                    lines.push(line.to_vec());
+                }
+            }
+            (lines, inbox.to_vec())
+        };
+        let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut.index(bytes.len() + 1)).collect();
+        cuts.extend([0, bytes.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|cut| &bytes[cut[0]..cut[1]]).collect();
+        prop_assert_eq!(lines(&pieces), lines(&[&bytes]));
+    }
+
+    /// Whatever strangers, collectors and proxies say, those who behave are served on.
+    #[test]
+    fn no_message_takes_the_pilot_along(said in prop::collection::vec((1..6_u64, any_line()), 0..60)) {
+        let mut stage = Stage::new();
+        stage.join(9, 7, true);
+        for (at, (link, line)) in said.iter().enumerate() {
+            if at % 7 == 0 {
+                stage.station.ended(*link);
+                stage.enter(*link);
+            }
+            stage.station.read(stage.now, *link, line);
+        }
+        let trace = stage.run_to(5.5);
+        prop_assert!(trace.contains("9 < {\"t\":\"assign\",\"full\":true"), "{}", trace);
+    }
+}
--- a/crates/platform/tests/station/stage.rs
+++ b/crates/platform/tests/station/stage.rs
@@ -44,6 +44,8 @@
     pub trace: String,
     /// Streams that take nothing: their messages are never out.
     pub stalled: Vec<Link>,
+    /// Probes end as if they had gone to another address.
+    pub former: bool,
     /// The server whose probes are refused.
     pub refuses: Option<usize>,
 }
@@ -65,6 +67,7 @@
             trace: String::new(),
             stalled: Vec::new(),
             refuses: None,
+            former: false,
         }
     }
 
@@ -118,10 +121,11 @@
                 Effect::Drop { link } => {
                     let _ = writeln!(self.trace, "{at:.1} {link} is dropped");
                 }
-                Effect::Probe { server, .. } => {
+                Effect::Probe { server, address } => {
                     let refused = self.refuses == Some(server);
+                    let address = if self.former { ([127, 0, 0, 8], 8).into() } else { address };
                     let finding = if refused { Finding::Refused } else { Finding::Passed(Some(0.5)) };
-                    self.station.probed(self.now, server, finding, Duration::from_millis(1));
+                    self.station.probed(self.now, server, address, finding, Duration::from_millis(1));
                 }
             }
         }
