Split lines and probe servers in one place for all hosts; copy tables only where written

Found on reading the platform front again: it split lines with a search that began anew at each read, where the runtime's feed remembers what it has looked through; its probe was the daemon's with another path; a table was cloned for each proxy touched, also where no line of it had changed; two names did one thing (ended, leave). Change: runtime::Lines serves the feed and the platform's streams, lockcroft_calls::probe both hosts; a sheet is copied when it is written. No behaviour is meant to change: a line's closing CR is left to the JSON reader, which takes it as space. The tests keep their assertions.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -3,16 +3,19 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONNECTION, HOST};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use lockcroft::Finding;
+use lockcroft::logic::PROBE_WAIT;
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::timeout;
 
 /// Why a call got no answer.
 #[derive(Debug)]
@@ -23,6 +26,12 @@
     Cut(String),
 }
 
+impl Fault {
+    fn broken(why: impl fmt::Display) -> Self {
+        Fault::Broken(why.to_string())
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         match self {
@@ -49,36 +58,49 @@
     /// # Errors
     /// The connection can't be made.
     pub async fn open(address: SocketAddr) -> Result<Self, Fault> {
-        let broken = |e: &dyn fmt::Display| Fault::Broken(e.to_string());
-        let stream = TcpStream::connect(address).await.map_err(|e| broken(&e))?;
+        let stream = TcpStream::connect(address).await.map_err(Fault::broken)?;
         let _ = stream.set_nodelay(true);
         let made = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = made.map_err(|e| broken(&e))?;
+        let (sender, connection) = made.map_err(Fault::broken)?;
         Ok(Line { address, sender, connection: spawn_local(connection) })
     }
 
-    async fn head(&mut self, path: &str, last: bool) -> Result<Response<Incoming>, Fault> {
-        let broken = |e: &dyn fmt::Display| Fault::Broken(e.to_string());
-        self.sender.ready().await.map_err(|e| broken(&e))?;
-        let mut call = Request::get(path).header(HOST, self.address.to_string());
-        if last {
-            call = call.header(CONNECTION, "close");
-        }
-        let call = call.body(Empty::<Bytes>::new()).map_err(|e| broken(&e))?;
-        self.sender.send_request(call).await.map_err(|e| broken(&e))
-    }
-
     /// Calls and reads an answer of at most so many bytes; after the last call the other end may close.
     ///
     /// # Errors
     /// The connection breaks, or the answer is longer.
     pub async fn get(&mut self, path: &str, last: bool, most: usize) -> Result<Answer, Fault> {
-        let (head, body) = self.head(path, last).await?.into_parts();
+        self.sender.ready().await.map_err(Fault::broken)?;
+        let mut call = Request::get(path).header(HOST, self.address.to_string());
+        if last {
+            call = call.header(CONNECTION, "close");
+        }
+        let call = call.body(Empty::<Bytes>::new()).map_err(Fault::broken)?;
+        let answer = self.sender.send_request(call).await.map_err(Fault::broken)?;
+        let (head, body) = answer.into_parts();
         let body = Limited::new(body, most).collect().await.map_err(|e| Fault::Cut(e.to_string()))?;
         Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
     }
 }
 
+/// Looks at a server, over a connection of its own so that a listener that is gone shows, and says how long
+/// it took. `read` tells what an answer of at most so many bytes means.
+pub async fn probe(
+    address: SocketAddr,
+    path: &str,
+    most: usize,
+    read: impl FnOnce(&Answer) -> Finding,
+) -> (Finding, Duration) {
+    let sent = Instant::now();
+    let call = async { Line::open(address).await?.get(path, true, most).await };
+    let finding = match timeout(PROBE_WAIT, call).await {
+        Ok(Ok(answer)) => read(&answer),
+        Ok(Err(Fault::Broken(_))) => Finding::Refused,
+        Ok(Err(Fault::Cut(_))) | Err(_) => Finding::Failed,
+    };
+    (finding, sent.elapsed())
+}
+
 impl Drop for Line {
     fn drop(&mut self) {
         self.connection.abort();
--- a/crates/pilot/src/probes.rs
+++ b/crates/pilot/src/probes.rs
@@ -1,12 +1,10 @@
-//! Probes: a call to a server, over a connection of its own so that a listener that is gone shows.
+//! Probes: what a server's answer to a call tells.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lockcroft::Finding;
-use lockcroft::logic::PROBE_WAIT;
-use lockcroft_calls::{Fault, Line};
-use tokio::time::timeout;
+use lockcroft_calls::Answer;
 
 /// Where servers tell the share of their cores in use, from 0 to 1.
 const LOAD: &str = "x-load";
@@ -14,18 +12,10 @@
 const BODY_MOST: usize = 1 << 16;
 
 pub async fn probe(address: SocketAddr) -> (Finding, Duration) {
-    let sent = Instant::now();
-    let finding = timeout(PROBE_WAIT, call(address)).await.unwrap_or(Finding::Failed);
-    (finding, sent.elapsed())
+    lockcroft_calls::probe(address, "/health", BODY_MOST, read).await
 }
 
-async fn call(address: SocketAddr) -> Finding {
-    let Ok(mut line) = Line::open(address).await else { return Finding::Refused };
-    let answer = match line.get("/health", true, BODY_MOST).await {
-        Ok(answer) => answer,
-        Err(Fault::Broken(_)) => return Finding::Refused,
-        Err(Fault::Cut(_)) => return Finding::Failed,
-    };
+fn read(answer: &Answer) -> Finding {
     let load = answer.headers.get(LOAD).and_then(|load| load.to_str().ok()?.parse().ok());
     match answer.status {
         status if status.is_success() => Finding::Passed(load),
@@ -37,6 +27,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use lockcroft::logic::PROBE_WAIT;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::task::{LocalSet, spawn_local};
--- a/crates/platform/src/berth.rs
+++ b/crates/platform/src/berth.rs
@@ -79,11 +79,11 @@
         };
         self.cleared.extend(self.told.difference(&self.shut));
         self.told.clone_from(&self.shut);
-        let mut parts = Vec::new();
+        let (mut parts, empty) = (Vec::new(), Sheet::default());
         for (table, laid) in &mut self.laid {
-            let sheet = desk.published.tables.get(table).cloned().unwrap_or_default();
+            let sheet = desk.published.tables.get(table).unwrap_or(&empty);
             let before = parts.len();
-            laid.changes(&sheet, desk, &mut parts);
+            laid.changes(sheet, desk, &mut parts);
             if parts.len() == before {
                 continue;
             }
@@ -94,7 +94,7 @@
                     orders.restore.push(name(server));
                 }
             }
-            laid.written = Some(sheet);
+            laid.written = Some(sheet.clone());
         }
         if !(orders.eject.is_empty() && orders.restore.is_empty()) {
             match parts.first_mut() {
--- a/crates/platform/src/io/links.rs
+++ b/crates/platform/src/io/links.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use lockcroft_runtime::Lines;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -15,11 +16,8 @@
 use super::Shared;
 use crate::berth::Link;
 use crate::door::Knock;
-use crate::lines;
 use crate::station::Effect;
 
-/// Room for what is read at a time.
-const CHUNK: usize = 4096;
 /// A buffer that a long message grew is given back beyond this.
 const KEEP: usize = 1 << 16;
 /// More than this never waits for one connection: messages wait in the core, so these are answers that
@@ -103,7 +101,7 @@
 async fn tend(mut stream: TcpStream, link: Link, hand: &Hand, shared: &Rc<Shared>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = stream.split();
-    let (mut inbox, mut out) = (BytesMut::new(), BytesMut::new());
+    let (mut inbox, mut out) = (Lines::default(), BytesMut::new());
     loop {
         if out.is_empty() {
             out = hand.due.take();
@@ -116,12 +114,11 @@
             }
             None => {}
         }
-        if inbox.is_empty() && inbox.capacity() > KEEP {
-            inbox = BytesMut::new();
+        if inbox.waiting().is_empty() && inbox.buffer().capacity() > KEEP {
+            inbox = Lines::default();
         }
-        inbox.reserve(CHUNK);
         tokio::select! {
-            read = reader.read_buf(&mut inbox) => {
+            read = reader.read_buf(inbox.buffer()) => {
                 if read? == 0 {
                     return Ok(());
                 }
@@ -140,12 +137,10 @@
 }
 
 /// Hands whole lines on; the rest stays. A line without end is nothing that can be read.
-fn take_lines(inbox: &mut BytesMut, link: Link, shared: &Rc<Shared>) {
+fn take_lines(inbox: &mut Lines, link: Link, shared: &Rc<Shared>) {
     let mut station = shared.station.borrow_mut();
-    while let Some(line) = lines::next(inbox) {
-        station.read(shared.now(), link, &line);
-    }
-    if inbox.len() > station.line_most(link) {
+    while inbox.next_line(|line| station.read(shared.now(), link, line)).is_some() {}
+    if inbox.waiting().len() > station.line_most(link) {
         station.reject(link, "a message without end");
     }
     drop(station);
--- a/crates/platform/src/io/probes.rs
+++ b/crates/platform/src/io/probes.rs
@@ -1,12 +1,10 @@
-//! Probes: a call to a server over a connection of its own, so that a listener that is gone shows.
+//! Probes: what a server's answer to a call tells.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lockcroft::Finding;
-use lockcroft::logic::PROBE_WAIT;
-use lockcroft_calls::{Fault, Line};
-use tokio::time::timeout;
+use lockcroft_calls::Answer;
 use tracing::debug;
 
 use crate::codec::load;
@@ -15,23 +13,14 @@
 const REPORT_MOST: usize = 4096;
 
 pub async fn probe(address: SocketAddr, asks_load: bool) -> (Finding, Duration) {
-    let sent = Instant::now();
-    let finding = timeout(PROBE_WAIT, call(address, asks_load)).await.unwrap_or(Finding::Failed);
-    (finding, sent.elapsed())
+    let path = if asks_load { "/metrics/load" } else { "/alive" };
+    lockcroft_calls::probe(address, path, REPORT_MOST, |answer| read(address, answer)).await
 }
 
-async fn call(address: SocketAddr, asks_load: bool) -> Finding {
-    let path = if asks_load { "/metrics/load" } else { "/alive" };
-    let Ok(mut line) = Line::open(address).await else { return Finding::Refused };
-    match line.get(path, true, REPORT_MOST).await {
-        Ok(answer) if answer.status.is_success() => {
-            Finding::Passed(load(&String::from_utf8_lossy(&answer.body)))
-        }
-        Ok(answer) => {
-            debug!(target: "lockcroft::probe", status = %answer.status, body = ?answer.body, %address);
-            Finding::Failed
-        }
-        Err(Fault::Broken(_)) => Finding::Refused,
-        Err(Fault::Cut(_)) => Finding::Failed,
+fn read(address: SocketAddr, answer: &Answer) -> Finding {
+    if answer.status.is_success() {
+        return Finding::Passed(load(&String::from_utf8_lossy(&answer.body)));
     }
+    debug!(target: "lockcroft::probe", status = %answer.status, body = ?answer.body, %address);
+    Finding::Failed
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,11 +7,9 @@
 mod config;
 mod door;
 pub mod io;
-mod lines;
 mod roster;
 mod station;
 
 pub use berth::Link;
 pub use config::Config;
-pub use lines::next as next_line;
 pub use station::{Effect, Station};
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -198,7 +198,7 @@
         debug!(target: "lockcroft::input", link, why, role = ?self.links.get(&link), "rejected");
         self.effects.push_back(Effect::Write { link, text: codec::reject(why) });
         self.effects.push_back(Effect::End { link });
-        self.leave(link);
+        self.ended(link);
     }
 
     fn collects(&mut self, link: Link, zone: Zone) {
@@ -226,16 +226,12 @@
     }
 
     fn drop_link(&mut self, link: Link) {
-        self.leave(link);
+        self.ended(link);
         self.effects.push_back(Effect::Drop { link });
     }
 
     /// The connection ended, by whomever.
     pub fn ended(&mut self, link: Link) {
-        self.leave(link);
-    }
-
-    fn leave(&mut self, link: Link) {
         let Some(role) = self.links.remove(&link) else { return };
         self.door.ended(link);
         if let Role::Proxy(proxy) = role {
--- a/crates/platform/tests/station/pieces.rs
+++ b/crates/platform/tests/station/pieces.rs
@@ -1,7 +1,6 @@
 //! Any bytes, in any pieces.
 
-use bytes::BytesMut;
-use lockcroft_platform::next_line;
+use lockcroft_runtime::Lines;
 use proptest::prelude::*;
 
 use crate::stage::Stage;
@@ -33,14 +32,14 @@
     fn pieces_make_no_difference(bytes in prop::collection::vec(prop_oneof![Just(b'\n'), Just(b'\r'), any::<u8>()], 0..200),
             cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..8)) {
         let lines = |pieces: &[&[u8]]| {
-            let (mut inbox, mut lines) = (BytesMut::new(), Vec::new());
+            let (mut inbox, mut lines) = (Lines::default(), Vec::new());
             for piece in pieces {
-                inbox.extend_from_slice(piece);
-                while let Some(line) = next_line(&mut inbox) {
-                    lines.push(line.to_vec());
+                inbox.buffer().extend_from_slice(piece);
+                while let Some(line) = inbox.next_line(<[u8]>::to_vec) {
+                    lines.push(line);
                 }
             }
-            (lines, inbox.to_vec())
+            (lines, inbox.waiting().to_vec())
         };
         let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut.index(bytes.len() + 1)).collect();
         cuts.extend([0, bytes.len()]);
--- a/crates/runtime/src/answers.rs
+++ b/crates/runtime/src/answers.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, BytesMut};
 
-use crate::feed::PIECE;
+use crate::lines::PIECE;
 
 /// Collects bytes, gives out whole answers.
 #[derive(Default)]
--- a/crates/runtime/src/feed.rs
+++ b/crates/runtime/src/feed.rs
@@ -1,15 +1,13 @@
 //! Bytes as they come off a socket, in pieces of any size, to lines of commands.
 
-use bytes::{Buf, BytesMut};
+use bytes::BytesMut;
 
+use crate::lines::Lines;
 use crate::words::{Command, split};
 
 /// A line, and a payload, may be so long; the guide's `tune.bufsize`.
 pub const LINE_MOST: usize = 16_384;
 
-/// What is read off a socket at a time.
-pub const PIECE: usize = 4096;
-
 /// A line that has no end within [`LINE_MOST`] bytes: the stream can't be followed any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Overlong;
@@ -17,9 +15,7 @@
 /// Collects bytes, gives out whole lines.
 #[derive(Default)]
 pub struct Feed {
-    buffer: BytesMut,
-    /// What was looked through already without an end of line.
-    seen: usize,
+    lines: Lines,
     /// A line whose payload is still coming, and the line that ends it.
     open: Option<(Vec<Command>, String, String)>,
 }
@@ -27,12 +23,11 @@
 impl Feed {
     /// Where to read into, with room for what a socket has at a time.
     pub fn buffer(&mut self) -> &mut BytesMut {
-        self.buffer.reserve(PIECE);
-        &mut self.buffer
+        self.lines.buffer()
     }
 
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        self.lines.buffer().extend_from_slice(bytes);
     }
 
     /// The commands of the next whole line with its payload; `None` until there is one.
@@ -66,18 +61,12 @@
     }
 
     fn raw_line(&mut self) -> Result<Option<String>, Overlong> {
-        let end = self.buffer[self.seen..].iter().position(|byte| *byte == b'\n');
-        let Some(end) = end.map(|end| end + self.seen) else {
-            self.seen = self.buffer.len();
-            return if self.seen > LINE_MOST { Err(Overlong) } else { Ok(None) };
-        };
-        if end > LINE_MOST {
+        let long = self.lines.next_len().unwrap_or(self.lines.waiting().len());
+        if long > LINE_MOST {
             return Err(Overlong);
         }
-        let line = String::from_utf8_lossy(&self.buffer[..end]).trim_end_matches('\r').to_string();
-        self.buffer.advance(end + 1);
-        self.seen = 0;
-        Ok(Some(line))
+        let text = |line: &[u8]| String::from_utf8_lossy(line).trim_end_matches('\r').to_string();
+        Ok(self.lines.next_line(text))
     }
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 mod address;
 mod answers;
 mod feed;
+mod lines;
 mod serve;
 mod session;
 pub mod sheets;
@@ -13,6 +14,7 @@
 pub use address::{Address, Listener, Stream, dial};
 pub use answers::Answers;
 pub use feed::{Feed, LINE_MOST, Overlong};
+pub use lines::Lines;
 pub use serve::{ANSWER_MOST, AskError, SESSIONS_MOST, ask, serve};
 pub use session::{After, Answer, Desk, Entry, Level, Session};
 pub use words::{Command, escaped, split};
