Let full parts lean on the emptiest beside them, and cold servers with room come in

Excluded: late discovery, lost probes, CPU. Faulty lines, src/logic.rs: desired() looked beside a part only under two fifths of its strength; wary() kept cold servers out for half their warm-up whatever they told; spend() stopped common changes at 15 of 30 messages, which urgent ones of cold servers had taken. Change: lean() moves a share of a full part's visits to the emptiest of its row, by told loads; a cold server that tells room has its share in an uneasy part, where reports tell that tries are answered; a server too full to answer a probe is full; cold servers of an uneasy part count half in its strength; common changes may use 22 of 30 messages; only drains and cold servers that lose more than half are urgent; filling a table leaves the room kept for drains.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -92,8 +92,9 @@
     /// Weights as they should be by the last plan, and as they were published.
     pub wanted: BTreeMap<Server, f64>,
     pub lines: BTreeMap<Server, f64>,
-    /// How late its servers are, by their part in it.
+    /// How late its servers are, by their part in it, and which share of their tries fails, where told.
     pub late: f64,
+    pub failing: Option<f64>,
     /// What each server has of its listed weight here by a plan made ahead; none: all of its part's.
     pub shares: BTreeMap<Server, f64>,
     /// What it keeps of its part at servers that classes with less choice need.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -73,7 +73,8 @@
 const SETTLE: f64 = 1.5;
 /// The fleet stays uneasy for this part of the time in which a server warms up.
 const UNEASY: f64 = 0.5;
-/// From this part of its warm-up on, a server has so much of its share even while its part is uneasy.
+/// A cold server that is less than full by its own word has so much of its share while its part is uneasy;
+/// where nothing is heard of that part, from this part of its warm-up on.
 const GROWN: f64 = 0.5;
 const WARY: f64 = 0.5;
 /// Shares of the limits on queue and messages that common changes, bindings and drains may fill.
@@ -163,6 +164,8 @@
     /// By part: started servers are not safe before. Proxies that fail elsewhere, shun what they could
     /// not reach, or come back as levels rise bring all to a started server, however small its weight.
     uneasy_until: Vec<Duration>,
+    /// By part: the share of its visits that its own servers get, and the part beside it that gets the rest.
+    home: Vec<(f64, usize)>,
     /// The one timer, and what hangs on it.
     next_beat: Duration,
     next_review: Duration,
@@ -191,7 +194,7 @@
         self.row = if by_zone || crowded > CROWDED { terms.count("zones").max(1) } else { 1 };
         self.places = if by_zone || classes.iter().all(|only| only[0].is_none()) { self.row } else { 1 };
         self.parts = if crowded > CROWDED { parts.max(self.row) } else { self.row };
-        self.uneasy_until = vec![Duration::ZERO; self.parts];
+        (self.uneasy_until, self.home) = (vec![Duration::ZERO; self.parts], vec![(1.0, 0); self.parts]);
         for part in 0..self.parts {
             for (class, only) in classes.iter().enumerate() {
                 // Classes that may use the same servers share a table: each line and binding costs once.
@@ -273,7 +276,11 @@
                 known.load = load;
                 i32::from(now >= known.doubted_until)
             }
-            Finding::TurnedAway => 0,
+            // It is too full to tell: what it told before would look like room.
+            Finding::TurnedAway => {
+                known.load = known.load.map(|_| 1.0);
+                0
+            }
             Finding::Failed | Finding::Refused => -1,
         };
         // What comes after the wait was counted as lost then.
@@ -469,6 +476,7 @@
             }
         }
         let step = now >= self.next_step;
+        self.lean(now);
         self.measure();
         for (part, fresh) in all.into_iter().enumerate() {
             if step {
@@ -514,6 +522,36 @@
         }
     }
 
+    /// Parts: one whose servers are fuller than all of its row together sends a share of its visits to the
+    /// emptiest beside it, and takes it back as they find room. Guards against a zone that lost servers, or
+    /// to which more comes than was stated, refusing visits while others idle. It acts where servers tell
+    /// their load: idle cold ones, or such as nobody reaches, would else look like room.
+    fn lean(&mut self, now: Duration) {
+        let mut told = vec![(0.0, 1e-9); self.parts];
+        let cold_share = self.terms.number("rules.cold_share").unwrap_or(1.0);
+        for known in self.servers.values().filter(|known| known.up() && !known.barred()) {
+            let weight = known.listing.weight * known.relief * known.warmth(now, cold_share);
+            let load = known.load.map(|load| load.min(1.0));
+            let (sum, all) = &mut told[known.part];
+            (*sum, *all) = (*sum + weight * load.unwrap_or(0.0), *all + weight);
+        }
+        let full = |(sum, all): (f64, f64)| if all > 1e-6 { sum / all } else { 1.0 };
+        for first in (0..self.parts).step_by(self.row.max(1)) {
+            let row = first..self.parts.min(first + self.row);
+            let mean = full(told[row.clone()].iter().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1)));
+            let emptiest = row.clone().min_by(|a, b| full(told[*a]).total_cmp(&full(told[*b])));
+            for part in row {
+                let (home, helper) = &mut self.home[part];
+                if *home == 1.0 || full(told[*helper]) > full(told[part]) {
+                    *helper = emptiest.unwrap_or(part);
+                }
+                // Half the way at a time, as loads are told late.
+                let even = COMFORT.max(mean) / full(told[part]).max(1e-9);
+                *home = (*home * even.sqrt()).clamp(WEAK, 1.0);
+            }
+        }
+    }
+
     /// Whether a server may be used for a table, being in its part or one beside it.
     fn beside(&self, table: &Table, known: &Known) -> bool {
         known.part / self.row == table.part / self.row && table.allows(&known.listing)
@@ -533,8 +571,11 @@
             let most = |known: &Known| room(known).map_or(LATE_MOST, |part| part * LATE);
             let late = |known: &Known| known.late(contract).min(most(known));
             let part = |(known, weight): (&Known, &f64)| (weight * late(known), *weight);
+            let failing = |(known, weight): (&Known, &f64)| weight * known.recent.failing();
+            let failing: f64 = told.clone().map(failing).sum();
             let (sum, all) = told.map(part).fold((0.0, 1e-9), |(a, b), (c, d)| (a + c, b + d));
             table.late = sum / all;
+            table.failing = (all > 1e-6).then_some(failing / all);
         }
     }
 
@@ -645,13 +686,18 @@
             let bare = left < WEAK * total;
             for (server, weight) in &table.wanted {
                 let (held, known) = (table.held(*server), &self.servers[server]);
-                let out = (known.barred() || known.cold(now)) && *weight < held;
+                let out = known.barred() && *weight < held || known.cold(now) && *weight < WARY * held;
                 // A withdrawal ends once all are bound, and a table without a line binds nobody: where
                 // all were withdrawn, lines of those that are back go first.
                 let back = !known.withdrawn || !known.kept_out(now, holding);
-                let urgent = out || bare && *weight > held && back;
-                if urgent || pushing && *weight != held && !known.withdrawn {
-                    let part = if urgent { DRAINING } else { COMMON };
+                let fills = bare && *weight > held && back;
+                if out || fills || pushing && *weight != held && !known.withdrawn {
+                    // Filling a table takes many lines: the room for drains is not for them.
+                    let part = match (out, fills) {
+                        (true, _) => DRAINING,
+                        (_, true) => BINDING,
+                        _ => COMMON,
+                    };
                     let moves = (weight - held).abs() / total.max(1e-9) * (1.0 + demand);
                     ranked.push((moves, Step(part, Order::Weigh(index, *server))));
                 }
@@ -729,17 +775,24 @@
         // Where weights are fixed by the terms, relief only learns what it would do.
         let fixed = self.terms.flag("rules.fixed_weights");
         let eased = |known: &Known| if fixed { 1.0 } else { known.relief * kept(known) };
-        // With half its warm-up behind it, one that tells that it is not full may take a little all the
-        // same: a part that is uneasy for want of servers would else keep out those that it needs.
-        let grown = |known: &Known| known.counter == Some(TOP) && known.warmth(now, 0.0) >= GROWN;
-        let free = |known: &Known| grown(known) && known.load.is_some_and(|load| load < BUSY);
-        let wary = |known: &Known| if free(known) { WARY } else { 0.0 };
-        let part = |known: &Known| eased(known) * if carries(known) { 1.0 } else { wary(known) };
-        let full = |known: &Known| listed(known, part(known));
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
         let here = self.servers.iter().filter(|(_, known)| self.beside(table, known));
         let members: Vec<(&Server, &Known)> = here.collect();
+        // Where many tries fail, or nothing is known of them yet, all may come again at once: a cold one
+        // would be pushed over before it tells that it is full.
+        let calm = table.failing.is_some_and(|failing| failing <= SOUND);
+        // One that tells that it has room takes its share all the same, one that is not full a little: a part
+        // that is uneasy for want of servers would else keep out those that it needs.
+        let mute = table.failing.is_none();
+        let grown = |known: &Known| calm || mute && known.warmth(now, 0.0) >= GROWN;
+        let wary = |known: &Known| match known.load.filter(|_| known.counter == Some(TOP)) {
+            Some(load) if calm && load < COMFORT => 1.0,
+            Some(load) if grown(known) && load < BUSY => WARY,
+            _ => 0.0,
+        };
+        let part = |known: &Known| eased(known) * if carries(known) { 1.0 } else { wary(known) };
+        let full = |known: &Known| listed(known, part(known));
         let good = || members.iter().filter(|(_, known)| !known.barred() && full(known) > 0.0);
         let any_up = good().any(|(_, known)| up(known));
         let laid = self.channel.count(Whom::On(index)) > 0;
@@ -757,16 +810,26 @@
             Some(planned) => *planned,
             None => f64::from(table.shares.is_empty() && known.part == table.part),
         };
-        // A part that is lost, cold or has no server of the kind looks to those beside it.
+        // A part that is lost, cold or has no server of the kind looks to those beside it. Cold servers of
+        // an uneasy part count little: alone they would get the visits of all that it lost.
         let strength = |alone: bool| {
             let of = members.iter().map(|at| (at, share(alone, at))).filter(|(_, share)| *share > 0.0);
             let able = |at: &(&Server, &Known), share| weight(at.0, at.1, share) > 0.0;
             let able = of.clone().filter(|(at, share)| able(at, *share));
-            let sum: f64 = able.map(|(at, share)| listed(at.1, 1.0) * share).sum();
+            let counts = |known: &Known| if carries(known) { 1.0 } else { WARY };
+            let sum: f64 = able.map(|(at, share)| listed(at.1, counts(at.1)) * share).sum();
             sum / of.map(|(at, share)| at.1.listing.weight * share).sum::<f64>().max(1e-9)
         };
         let alone = strength(true) >= WEAK * strength(false);
+        // What a full part gives away goes to one beside it.
+        let (home, helper) = self.home[table.part];
+        let lent = |known: &Known| alone && home < 1.0 && known.part == helper && table.shares.is_empty();
+        let able = |of: &dyn Fn(&Known) -> bool| -> f64 {
+            members.iter().filter(|at| of(at.1)).map(|at| weight(at.0, at.1, 1.0)).sum()
+        };
+        let away = (1.0 / home - 1.0) * able(&|known| known.part == table.part) / able(&lent).max(1e-9);
         let part = |at: &(&Server, &Known)| match share(alone, at) {
+            0.0 if lent(at.1) => weight(at.0, at.1, away.min(1.0)),
             0.0 => 0.0,
             share => weight(at.0, at.1, share),
         };
@@ -777,7 +840,8 @@
     /// messages would then fill more than this part of the limits.
     fn spend(&mut self, now: Duration, lines: usize, whom: Whom, part: f64) -> Option<()> {
         let head = self.terms.number("fleet.message_head_lines").unwrap_or(0.0);
-        let most = self.terms.limit("fleet.messages_most") * part;
+        // Messages are short of room sooner than the queue: those of urgent changes leave some to all others.
+        let most = self.terms.limit("fleet.messages_most") * part.max(BINDING);
         let span = self.terms.span("fleet.messages_span_us");
         let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
         let waiting = self.channel.waiting(now, pace);
