Keep drains and empty tables from waiting: whole rows of parts, room for drains by their pace

Checked with orders that waited printed: a wave of 46 drains for 45 or 99 proxies found 9,300 of 9,400 lines waiting, by the pilot's own estimate at an eighth of the stated pace; common changes had filled its half again and again. Excluded: the limit on messages (3 to 15 of 28), late news. Proxies without a server were those of the one part beyond the last whole row: with five parts and four zones nobody lay beside it when its zone was lost. Faulty lines, src/logic.rs: spend() took one pace for all; beside() took part / row, also in a row of one. Change: drains are held against a channel four times slower than stated, all else eight times as before; parts beyond the last whole row lie in it.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -171,8 +171,8 @@
 pub struct Channel {
     pub proxies: BTreeMap<Proxy, Joined>,
     on: BTreeMap<TableNumber, usize>,
-    /// Lines that wait, as far as that is known, at a time.
-    waiting: f64,
+    /// Lines that wait at a time, as far as that is known, if the channel is slow and if it is less so.
+    waiting: [f64; 2],
     /// Lines that wait by the host's word, where it gives one.
     pub queued: Option<f64>,
     as_of: Duration,
@@ -232,14 +232,17 @@
         }
     }
 
-    /// Lines that still wait, where the channel has sent `pace` a second.
-    pub fn waiting(&mut self, now: Duration, pace: f64) -> f64 {
-        let sent = (now - self.as_of).as_secs_f64() * pace;
+    /// Lines that still wait, where the channel has sent so many a second.
+    pub fn waiting(&mut self, now: Duration, paces: [f64; 2]) -> [f64; 2] {
+        let span = (now - self.as_of).as_secs_f64();
         if now != self.as_of {
             self.begun.clear();
         }
-        (self.waiting, self.as_of) = ((self.waiting - sent).max(0.0), now);
-        self.waiting.max(self.queued.unwrap_or(0.0))
+        for (waiting, pace) in self.waiting.iter_mut().zip(paces) {
+            *waiting = (*waiting - span * pace).max(0.0);
+        }
+        self.as_of = now;
+        self.waiting.map(|waiting| waiting.max(self.queued.unwrap_or(0.0)))
     }
 
     /// How many messages an order of this time would begin, and how many the proxy among them with the
@@ -258,7 +261,7 @@
 
     pub fn send(&mut self, whom: Whom, cost: f64) {
         let now = self.as_of;
-        self.waiting += cost;
+        self.waiting.iter_mut().for_each(|waiting| *waiting += cost);
         self.queued = self.queued.map(|queued| queued + cost);
         if !self.begun.contains(&whom) {
             let new = reached(&mut self.proxies, whom).filter(|joined| joined.messages.back() != Some(&now));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -91,8 +91,10 @@
 /// is weaker than those beside it by so much, and a table of which so little is left is filled at once.
 const SPILL: f64 = 1.1;
 const WEAK: f64 = 0.4;
-/// The channel is taken to send this many times slower than stated: on bad days it does.
+/// The channel is taken to send this many times slower than stated, as on bad days it does, and so many for
+/// drains: a wave of them would else wait for what may never be true, and the grace runs.
 const SLOWEST: f64 = 8.0;
+const SLOW: f64 = 4.0;
 
 impl Known {
     fn late(&self, contract: f64) -> f64 {
@@ -536,10 +538,10 @@
             (*sum, *all) = (*sum + weight * load.unwrap_or(0.0), *all + weight);
         }
         let full = |(sum, all): (f64, f64)| if all > 1e-6 { sum / all } else { 1.0 };
-        for first in (0..self.parts).step_by(self.row.max(1)) {
-            let row = first..self.parts.min(first + self.row);
-            let mean = full(told[row.clone()].iter().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1)));
-            let emptiest = row.clone().min_by(|a, b| full(told[*a]).total_cmp(&full(told[*b])));
+        for row in 0..self.parts / self.row.max(1) {
+            let row = (0..self.parts).filter(|part| self.row_of(*part) == row).collect::<Vec<usize>>();
+            let mean = full(row.iter().fold((0.0, 0.0), |a, b| (a.0 + told[*b].0, a.1 + told[*b].1)));
+            let emptiest = row.iter().copied().min_by(|a, b| full(told[*a]).total_cmp(&full(told[*b])));
             for part in row {
                 let (home, helper) = &mut self.home[part];
                 if *home == 1.0 || full(told[*helper]) > full(told[part]) {
@@ -554,7 +556,12 @@
 
     /// Whether a server may be used for a table, being in its part or one beside it.
     fn beside(&self, table: &Table, known: &Known) -> bool {
-        known.part / self.row == table.part / self.row && table.allows(&known.listing)
+        self.row_of(known.part) == self.row_of(table.part) && table.allows(&known.listing)
+    }
+
+    /// Parts beyond the last whole row lie in it: alone, one that is lost would have nobody beside it.
+    fn row_of(&self, part: usize) -> usize {
+        (part / self.row).min(self.parts / self.row - 1)
     }
 
     fn lanes(&self, part: usize) -> Range<TableNumber> {
@@ -843,8 +850,9 @@
         // Messages are short of room sooner than the queue: those of urgent changes leave some to all others.
         let most = self.terms.limit("fleet.messages_most") * part.max(BINDING);
         let span = self.terms.span("fleet.messages_span_us");
-        let pace = self.terms.limit("fleet.channel_lines_per_s") / SLOWEST;
-        let waiting = self.channel.waiting(now, pace);
+        let pace = self.terms.limit("fleet.channel_lines_per_s");
+        let [slowest, slow] = self.channel.waiting(now, [pace / SLOWEST, pace / SLOW]);
+        let waiting = if part < DRAINING { slowest } else { slow };
         let (begun, had) = self.channel.begins(whom, span);
         let cost = (lines * self.channel.count(whom)) as f64 + begun as f64 * head;
         let full = waiting + cost > self.terms.limit("fleet.queue_most_lines") * part;
