--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,10 +11,10 @@
 //! go out; after a start nothing is pushed until probes converge. Beside it stand six mechanisms:
 //! 1. Evidence: what proxies met at a server moves its counter too, up and down.
 //! 2. Relief: servers that miss the contract time drop in weight, first for classes with more choice.
-//! 3. Return: a started server begins with the stated cold share, or with none while its part is uneasy.
+//! 3. Return: a started server begins with the stated cold share; in an uneasy part only if it tells room.
 //! 4. Pace: one budget for the queue and the message limit, with room kept for drains.
 //! 5. Admission: where a class's servers are late as a whole, the least earnings per work stay out.
-//! 6. Parts: a fleet that does not fit one table is cut into parts, each run like a small fleet.
+//! 6. Parts: a fleet too large for one table is cut into parts, run like small ones; full ones lean on others.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Range;
