--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 //! 3. Return: a started server begins with the stated cold share; in an uneasy part only if it tells room.
 //! 4. Pace: one budget for the queue and the message limit, with room kept for drains.
 //! 5. Admission: where a class's servers are late as a whole, the least earnings per work stay out.
-//! 6. Parts: a fleet too large for one table is cut into parts, run like small ones; full ones lean on others.
+//! 6. Parts: a fleet too large for one table is cut into parts, each run alone; full ones lean on others.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Range;
