Work out what a part lends only where it leans; test cold servers of parts not heard

Found on reading the change again: desired() summed the weights of two parts for each table at each plan, though parts seldom lean; one closure said two things at once. No behaviour is meant to change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -533,9 +533,8 @@
         let cold_share = self.terms.number("rules.cold_share").unwrap_or(1.0);
         for known in self.servers.values().filter(|known| known.up() && !known.barred()) {
             let weight = known.listing.weight * known.relief * known.warmth(now, cold_share);
-            let load = known.load.map(|load| load.min(1.0));
             let (sum, all) = &mut told[known.part];
-            (*sum, *all) = (*sum + weight * load.unwrap_or(0.0), *all + weight);
+            (*sum, *all) = (*sum + weight * known.load.unwrap_or(0.0).min(1.0), *all + weight);
         }
         let full = |(sum, all): (f64, f64)| if all > 1e-6 { sum / all } else { 1.0 };
         for row in 0..self.parts / self.row.max(1) {
@@ -791,11 +790,10 @@
         let calm = table.failing.is_some_and(|failing| failing <= SOUND);
         // One that tells that it has room takes its share all the same, one that is not full a little: a part
         // that is uneasy for want of servers would else keep out those that it needs.
-        let mute = table.failing.is_none();
-        let grown = |known: &Known| calm || mute && known.warmth(now, 0.0) >= GROWN;
+        let grown = |known: &Known| table.failing.is_none() && known.warmth(now, 0.0) >= GROWN;
         let wary = |known: &Known| match known.load.filter(|_| known.counter == Some(TOP)) {
             Some(load) if calm && load < COMFORT => 1.0,
-            Some(load) if grown(known) && load < BUSY => WARY,
+            Some(load) if (calm || grown(known)) && load < BUSY => WARY,
             _ => 0.0,
         };
         let part = |known: &Known| eased(known) * if carries(known) { 1.0 } else { wary(known) };
@@ -830,13 +828,14 @@
         let alone = strength(true) >= WEAK * strength(false);
         // What a full part gives away goes to one beside it.
         let (home, helper) = self.home[table.part];
-        let lent = |known: &Known| alone && home < 1.0 && known.part == helper && table.shares.is_empty();
-        let able = |of: &dyn Fn(&Known) -> bool| -> f64 {
-            members.iter().filter(|at| of(at.1)).map(|at| weight(at.0, at.1, 1.0)).sum()
+        let leans = alone && home < 1.0 && table.shares.is_empty();
+        let sum = |part: usize| -> f64 {
+            let of = members.iter().filter(|(_, known)| known.part == part);
+            of.map(|at| weight(at.0, at.1, 1.0)).sum()
         };
-        let away = (1.0 / home - 1.0) * able(&|known| known.part == table.part) / able(&lent).max(1e-9);
+        let away = if leans { (1.0 / home - 1.0) * sum(table.part) / sum(helper).max(1e-9) } else { 0.0 };
         let part = |at: &(&Server, &Known)| match share(alone, at) {
-            0.0 if lent(at.1) => weight(at.0, at.1, away.min(1.0)),
+            0.0 if leans && at.1.part == helper => weight(at.0, at.1, away.min(1.0)),
             0.0 => 0.0,
             share => weight(at.0, at.1, share),
         };
--- a/tests/pilot/failures.rs
+++ b/tests/pilot/failures.rs
@@ -337,6 +337,22 @@
     }
 }
 
+/// Where nothing is heard of a part, a cold server that tells room comes in past half its warm-up of 10 s.
+#[test]
+fn cold_server_of_a_part_that_is_not_heard_comes_in_half_warm() {
+    let mut stage = Stage::new(3);
+    stage.health.fill(Finding::Passed(Some(0.1)));
+    stage.join(0).run_to(8000).quiet().list(&[started(1, 0)]);
+    let trace = stage.run_to(15_000).said(&["table 0: server 1"]);
+    expect![[r#"
+        8.0 table 0: server 1 0
+        13.0 table 0: server 1 0.3
+        13.8 table 0: server 1 0.35
+        15.0 table 0: server 1 0.4
+    "#]]
+    .assert_eq(&trace);
+}
+
 /// Found by hunting on sorraia-guias: in jams, where clients come again at once, cold servers that had
 /// told room were sent five times what they could do, some by their word of before, as they were too full
 /// to answer a probe.
