Tell withdrawals once to each joining proxy, and lay tables first where they are shorter

Followed in one play with decisions logged: proxy 115 comes from n2, which was told to end, and joins n3 at 18.160 s; n3 sends it nothing until 21.312 s. Between 17.58 and 18.08 s each of 12 joinings makes n3 decide all 100 withdrawals anew (942 in half a second), each charged to every proxy not yet on a table, until the room for drains is full; tables wait behind common changes. Excluded: the list (version 13 is taken at 17.069 s, weight 0 decided at 17.071 s), the write (no stream was busy), the channel (most_backlog 0.53 of the limit). Lines at fault: joined() marked every withdrawn server unheard for all (src/logic.rs), and withdrawals() told it to all unbound proxies; bindings() gave tables less room than the hundred lines that a table would have saved.

Change: joinings are numbered, a withdrawal is told to those that joined since. Where servers that drain or are gone are more than a table's lines, the table is due like a drain. A table refused for one proxy holds up no other order. Tests: tests/pilot/herds.rs; the first fails without the change (seen: proxies never bound).

--- a/crates/fleet/src/helm.rs
+++ b/crates/fleet/src/helm.rs
@@ -363,7 +363,7 @@
             self.touched.insert(proxy);
         }
         let (zone, rate) = (berth.at.zone, berth.at.rate);
-        self.pilot.joined(now, proxy, zone, rate, fresh);
+        self.pilot.joined(proxy, zone, rate, fresh);
     }
 
     fn told(&mut self, now: Duration, proxy: Proxy, told: Told) {
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -163,7 +163,7 @@
             }
             (Ok(Message::Collects { zone }), Role::Guest) => self.collects(link, zone),
             (Ok(Message::Joins { proxy, zone, rate, fresh }), Role::Guest) => {
-                self.joins(now, link, proxy, zone, rate, fresh);
+                self.joins(link, proxy, zone, rate, fresh);
             }
             (Err(Fault::Unreadable(why) | Fault::Spoilt(why)), Role::Guest) => self.reject(link, &why),
             (Ok(_), Role::Guest) => self.reject(link, "reports come after a joining"),
@@ -212,7 +212,7 @@
         self.door.joined(link);
     }
 
-    fn joins(&mut self, now: Duration, link: Link, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
+    fn joins(&mut self, link: Link, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
         // A new stream may come before the old one is seen to end, which then ends for nobody.
         let old = self.berths.get(&proxy).map(|berth| berth.link);
         if let Some(old) = old {
@@ -222,7 +222,7 @@
         self.links.insert(link, Role::Proxy(proxy));
         self.door.joined(link);
         self.berths.insert(proxy, Berth::new(link, fresh));
-        self.pilot.joined(now, proxy, zone, rate, fresh);
+        self.pilot.joined(proxy, zone, rate, fresh);
     }
 
     fn drop_link(&mut self, link: Link) {
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -203,7 +203,7 @@
                 let proxy = line.number("proxy")?;
                 let rate = line.amount("rate")?;
                 let zone = instance.places.zone(line.word("zone")?)?;
-                instance.guard(|pilot| pilot.joined(now, proxy, zone, rate, fresh));
+                instance.guard(|pilot| pilot.joined(proxy, zone, rate, fresh));
             }
             "DETACHED" => {
                 let proxy = line.number("proxy")?;
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -37,10 +37,11 @@
     }
 }
 
-/// Whom an order is for: joined proxies on fewer tables than this, those on a table, or one.
+/// Whom an order is for: proxies on fewer tables than this whose joining had a later number, those on a
+/// table, or one.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Whom {
-    Unbound(usize),
+    Unbound(usize, u64),
     On(TableNumber),
     One(Proxy),
 }
@@ -68,8 +69,8 @@
     /// Share of its cores in use, where it tells.
     pub load: Option<f64>,
     pub withdrawn: bool,
-    /// A proxy has joined since the withdrawal went out.
-    pub unheard: bool,
+    /// The withdrawal reached the proxies whose joining had this number or a lower one.
+    pub heard: u64,
 }
 
 impl Known {
@@ -118,6 +119,11 @@
     pub fn held(&self, server: Server) -> f64 {
         self.lines.get(&server).copied().unwrap_or(0.0)
     }
+
+    /// Lines that a proxy gets with the whole table.
+    pub fn laid(&self) -> usize {
+        self.lines.values().filter(|weight| **weight > 0.0).count()
+    }
 }
 
 /// What is let in of one class, at one table.
@@ -156,6 +162,8 @@
 /// A proxy whose stream stands.
 #[derive(Default)]
 pub struct Joined {
+    /// Joinings are numbered from 1.
+    pub number: u64,
     pub zone: Zone,
     /// Visits a second that it usually has.
     pub rate: f64,
@@ -165,11 +173,23 @@
     pub messages: VecDeque<Duration>,
 }
 
+impl Joined {
+    fn meant(&self, whom: Whom) -> bool {
+        match whom {
+            Whom::On(table) => self.tables.contains(&table),
+            Whom::Unbound(tables, number) => self.tables.len() < tables && self.number > number,
+            Whom::One(_) => true,
+        }
+    }
+}
+
 /// Joined proxies, the tables they are on, and the messages that went to them. What goes out at one
 /// time travels together, as one message to each.
 #[derive(Default)]
 pub struct Channel {
     pub proxies: BTreeMap<Proxy, Joined>,
+    /// How many joinings there were.
+    pub joinings: u64,
     on: BTreeMap<TableNumber, usize>,
     /// Lines that wait at a time, as far as that is known, if the channel is slow and if it is less so.
     waiting: [f64; 2],
@@ -183,7 +203,8 @@
 impl Channel {
     pub fn join(&mut self, proxy: Proxy, joined: Joined) {
         self.leave(proxy);
-        self.proxies.insert(proxy, joined);
+        self.joinings += 1;
+        self.proxies.insert(proxy, Joined { number: self.joinings, ..joined });
     }
 
     pub fn leave(&mut self, proxy: Proxy) {
@@ -226,12 +247,18 @@
 
     pub fn count(&self, whom: Whom) -> usize {
         match whom {
-            Whom::Unbound(most) => self.proxies.values().filter(|joined| joined.tables.len() < most).count(),
+            Whom::Unbound(..) => self.proxies.values().filter(|joined| joined.meant(whom)).count(),
             Whom::On(table) => self.on.get(&table).copied().unwrap_or(0),
             Whom::One(_) => 1,
         }
     }
 
+    /// The number of the newest joining among these; 0 if there is none.
+    pub fn newest(&self, whom: Whom) -> u64 {
+        let meant = self.proxies.values().filter(|joined| joined.meant(whom));
+        meant.map(|joined| joined.number).max().unwrap_or(0)
+    }
+
     /// Lines that still wait, where the channel has sent so many a second.
     pub fn waiting(&mut self, now: Duration, paces: [f64; 2]) -> [f64; 2] {
         let span = (now - self.as_of).as_secs_f64();
@@ -273,10 +300,5 @@
 
 fn reached(proxies: &mut BTreeMap<Proxy, Joined>, whom: Whom) -> impl Iterator<Item = &mut Joined> {
     let (first, last) = if let Whom::One(proxy) = whom { (proxy, proxy) } else { (0, Proxy::MAX) };
-    let meant = move |joined: &Joined| match whom {
-        Whom::On(table) => joined.tables.contains(&table),
-        Whom::Unbound(most) => joined.tables.len() < most,
-        Whom::One(_) => true,
-    };
-    proxies.range_mut(first..=last).map(|(_, joined)| joined).filter(move |joined| meant(joined))
+    proxies.range_mut(first..=last).map(|(_, joined)| joined).filter(move |joined| joined.meant(whom))
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -307,15 +307,10 @@
     }
 
     /// A proxy's stream stands. Its tables are of before; unless `fresh`, it may shun what failed it.
-    pub fn joined(&mut self, now: Duration, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
+    pub fn joined(&mut self, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
         self.news = true;
         let part = (self.parts == 1).then_some(0);
         self.channel.join(proxy, Joined { zone, rate, fresh, part, ..Joined::default() });
-        // Withdrawals that went out before have not reached it.
-        let holding = self.holding();
-        for known in self.servers.values_mut() {
-            known.unheard |= known.withdrawn && known.kept_out(now, holding);
-        }
     }
 
     pub fn left(&mut self, proxy: Proxy) {
@@ -390,15 +385,18 @@
             self.plan(now);
         }
         while let Some(Step(part, order)) = self.steps.pop_front() {
-            if matches!(order, Order::Withdraw(_, true)) && self.unbound() == 0 {
+            let heard = |server: &Server| self.servers[server].heard >= self.newest();
+            if matches!(&order, Order::Withdraw(server, true) if heard(server)) {
                 continue;
             }
+            let binds = |order: &Order| matches!(order, Order::Bind(..));
+            let one = binds(&order);
             let taken = self.take(now, part, order);
             if taken.is_some() {
                 return taken;
             }
             // Sent from the top: what ranks lower waits as well, but for proxies without a table.
-            self.steps.retain(|step| step.0 > part || matches!(step.1, Order::Bind(..)));
+            self.steps.retain(|step| one || step.0 > part || binds(&step.1));
         }
         self.ready.pop_front()
     }
@@ -612,6 +610,11 @@
         self.servers.values().for_each(|known| room[known.part] += known.listing.weight);
         let all = self.channel.mean_rate() * self.terms.number("fleet.proxies").unwrap_or(0.0);
         let fair = SPILL * all / room.iter().sum::<f64>();
+        // What is barred is off a proxy with its first table: due like drains where that is the shorter word.
+        // In a release, those who join one by one would else wait while the longer word fills the queue.
+        let barred = self.servers.values().filter(|known| known.barred()).count();
+        let shorter = |table: TableNumber| (1..barred).contains(&self.tables[table].laid());
+        let due = |table: TableNumber| if shorter(table) { DRAINING } else { BINDING };
         for (proxy, joined) in self.channel.unbound(self.each) {
             let load = |part: usize| (carried[part] + joined.rate) / room[part];
             let rank = |part: usize, other: usize| load(part).total_cmp(&load(other));
@@ -623,7 +626,7 @@
             carried[part] += if new { joined.rate } else { 0.0 };
             let tables = part * self.each..(part + 1) * self.each;
             let free = tables.filter(|table| self.tables[*table].released && !joined.tables.contains(table));
-            steps.extend(free.map(|table| Step(BINDING, Order::Bind(table, proxy))));
+            steps.extend(free.map(|table| Step(due(table), Order::Bind(table, proxy))));
         }
         steps
     }
@@ -662,19 +665,20 @@
         self.gates.iter().filter(move |gate| gate.table == table)
     }
 
-    /// Proxies that still hold tables of before.
-    fn unbound(&self) -> usize {
-        self.channel.count(Whom::Unbound(self.each))
+    /// The newest joining of a proxy that still holds tables of before; 0 if none does. Only those that have
+    /// not heard of a withdrawal count: where many join one by one, each would else be told for all.
+    fn newest(&self) -> u64 {
+        self.channel.newest(Whom::Unbound(self.each, 0))
     }
 
     /// Servers that are kept out leave the tables of before, hold or not: no proxy may send there past
     /// the grace. One that returns comes back at its cold share, never at the weight it left with.
     fn withdrawals(&self, now: Duration) -> Vec<Step> {
-        let (holding, unbound) = (self.holding(), self.unbound() > 0);
+        let (holding, newest) = (self.holding(), self.newest());
         let held = |server: &Server| self.tables.iter().any(|t| t.held(*server) > t.wants(*server));
         let due = self.servers.iter().filter(|(server, known)| match known.kept_out(now, holding) {
-            true => (!known.withdrawn || known.unheard) && unbound,
-            false => known.withdrawn && !unbound && !held(server),
+            true => known.heard < newest,
+            false => known.withdrawn && newest == 0 && !held(server),
         });
         let step = |known: &Known, server| Order::Withdraw(server, known.kept_out(now, holding));
         due.map(|(server, known)| Step(DRAINING, step(known, *server))).collect()
@@ -722,9 +726,10 @@
     fn take(&mut self, now: Duration, part: f64, order: Order) -> Option<Decision> {
         match order {
             Order::Withdraw(server, withdrawn) => {
-                self.spend(now, 1, Whom::Unbound(self.each), part)?;
-                let known = self.servers.get_mut(&server)?;
-                (known.withdrawn, known.unheard) = (withdrawn, false);
+                let heard = self.servers.get(&server)?.heard;
+                self.spend(now, 1, Whom::Unbound(self.each, heard), part)?;
+                let (known, all) = (self.servers.get_mut(&server)?, self.channel.joinings);
+                (known.withdrawn, known.heard) = (withdrawn, if withdrawn { all } else { 0 });
                 Some(Decision::Withdraw { server, withdrawn })
             }
             Order::Weigh(index, server) => {
@@ -746,14 +751,9 @@
                 Some(Decision::Admit { table, class, share, second_try: share >= 1.0 })
             }
             Order::Bind(index, proxy) => {
-                let table = &self.tables[index];
+                let lines = Some(self.tables[index].laid()).filter(|lines| *lines > 0)?;
                 let classes: Vec<Class> = self.gates_of(index).map(|gate| gate.class).collect();
-                let lines = table.lines.values().filter(|weight| **weight > 0.0).count();
-                if lines == 0 {
-                    return None;
-                }
-                let lines = 1 + classes.len() + lines;
-                self.spend(now, lines, Whom::One(proxy), part)?;
+                self.spend(now, 1 + classes.len() + lines, Whom::One(proxy), part)?;
                 self.channel.bind(proxy, index);
                 let fresh = self.channel.proxies.get(&proxy).is_some_and(|joined| joined.fresh);
                 if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
--- a/tests/pilot/main.rs
+++ b/tests/pilot/main.rs
@@ -2,5 +2,6 @@
 
 mod design;
 mod failures;
+mod herds;
 mod plans;
 mod stage;
--- a/tests/pilot/stage.rs
+++ b/tests/pilot/stage.rs
@@ -135,7 +135,7 @@
     }
 
     pub fn join(&mut self, proxy: usize) -> &mut Self {
-        self.pilot.joined(self.now, proxy, proxy % 2, 1.0, true);
+        self.pilot.joined(proxy, proxy % 2, 1.0, true);
         self
     }
 
