Take an answer 503 to a probe as turned away, with one reading of endings for all hosts

All failures are answers 503 with an empty body, in 1 to 3 ms (asked by too many at once) or at 250 ms (a probe that waits behind the queue is given up by the server); an endpoint that does not answer at all is another ending. Checked and excluded: lists (unchanged), the zone that is cut (its probes end at 500 ms), headers (none tell more). Lines at fault: read() in crates/platform/src/io/probes.rs, which made every status but 2xx a failure; the daemon's reading had it right.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -83,6 +83,16 @@
     }
 }
 
+/// What the status of an answer tells of a server; `load` is what it told beside it. One that answers that
+/// it has no room says nothing of its health, as it may just be asked by too many.
+pub fn finding(status: StatusCode, load: Option<f64>) -> Finding {
+    match status {
+        status if status.is_success() => Finding::Passed(load),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Finding::TurnedAway,
+        _ => Finding::Failed,
+    }
+}
+
 /// Looks at a server, over a connection of its own so that a listener that is gone shows, and says how long
 /// it took. `read` tells what an answer of at most so many bytes means.
 pub async fn probe(
--- a/crates/pilot/src/lib.rs
+++ b/crates/pilot/src/lib.rs
@@ -26,6 +26,7 @@
 use tracing::{info, warn};
 
 pub use crate::logs::{Logs, start as start_logs};
+pub use crate::probes::probe;
 
 use crate::files::Press;
 use crate::memory::Keeper;
--- /dev/null
+++ b/crates/pilot/tests/probes.rs
@@ -0,0 +1,53 @@
+//! Endings of probes, each caused by a server that does just that.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lockcroft::Finding;
+use lockcroft::logic::PROBE_WAIT;
+use lockcroft_pilot::probe;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+
+/// A server that reads the call and does this with the connection.
+async fn server(answer: Option<&'static str>, wait: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("bound");
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("called");
+        let _ = stream.read(&mut [0; 1024]).await;
+        tokio::time::sleep(wait).await;
+        if let Some(answer) = answer {
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+#[test]
+fn endings_are_told_apart() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let soon = Duration::ZERO;
+        let cases = [
+            (
+                Some("HTTP/1.1 200 OK\r\nx-load: 0.25\r\ncontent-length: 0\r\n\r\n"),
+                soon,
+                Finding::Passed(Some(0.25)),
+            ),
+            (Some("HTTP/1.1 204 No Content\r\n\r\n"), soon, Finding::Passed(None)),
+            (Some("HTTP/1.1 500 Oh\r\ncontent-length: 0\r\n\r\n"), soon, Finding::Failed),
+            (Some("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"), soon, Finding::TurnedAway),
+            (Some("no such thing\r\n\r\n"), soon, Finding::Refused),
+            (None, soon, Finding::Refused),
+            (None, PROBE_WAIT * 2, Finding::Failed),
+        ];
+        for (answer, wait, wanted) in cases {
+            let address = server(answer, wait).await;
+            assert_eq!(probe(address).await.0, wanted, "{answer:?} after {wait:?}");
+        }
+        let nobody = TcpListener::bind("127.0.0.1:0").await.and_then(|l| l.local_addr()).expect("bound");
+        assert_eq!(probe(nobody).await.0, Finding::Refused);
+    });
+}
--- a/crates/platform/src/io/probes.rs
+++ b/crates/platform/src/io/probes.rs
@@ -18,9 +18,8 @@
 }
 
 fn read(address: SocketAddr, answer: &Answer) -> Finding {
-    if answer.status.is_success() {
-        return Finding::Passed(load(&String::from_utf8_lossy(&answer.body)));
+    if !answer.status.is_success() {
+        debug!(target: "lockcroft::probe", status = %answer.status, body = ?answer.body, %address);
     }
-    debug!(target: "lockcroft::probe", status = %answer.status, body = ?answer.body, %address);
-    Finding::Failed
+    lockcroft_calls::finding(answer.status, load(&String::from_utf8_lossy(&answer.body)))
 }
