Let marks and lines as sent tell what waits in the channel; charge what is let back

Lines at fault: take() charged no line for the end of a withdrawal and none for what goes with a table to let back what others shut out (src/logic.rs); Berth::withdraw shut out at bound proxies what nobody had charged; SLOWEST and SLOW were all that was known of the channel.

Change: the last message of those that leave together carries a mark, and its answer says what has left. The core tells the lines and messages that really went out, in the place of what decisions were taken to cost. Ends of withdrawals are charged to all joined proxies, and a table for a proxy with a past for as many words as lines. A probe's ending counts for the probe that is out and before its wait ends, on the pilot's clock, so that either order at that instant leaves the same; one from a former address moves nothing.

--- a/crates/cli/tests/daemon/main.rs
+++ b/crates/cli/tests/daemon/main.rs
@@ -5,3 +5,4 @@
 mod help;
 mod platform;
 mod sockets;
+mod stand;
--- /dev/null
+++ b/crates/cli/tests/daemon/stand.rs
@@ -0,0 +1,267 @@
+//! A scripted platform on loopback, and a pilot on it as a process: discovery, endpoints and proxies are the test's.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::help::PROGRAM;
+
+pub const SOON: Duration = Duration::from_secs(6);
+
+/// A discovery whose list tests change.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub list: Arc<Mutex<(u64, Vec<Value>)>>,
+}
+
+impl Discovery {
+    pub fn start(index: u64, entries: Vec<Value>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let list = Arc::new(Mutex::new((index, entries)));
+        let discovery = Discovery { address: listener.local_addr().expect("bound"), list };
+        let served = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || served.serve(stream));
+            }
+        });
+        discovery
+    }
+
+    pub fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("cloned"));
+        let mut writer = stream;
+        while let Some(head) = read_head(&mut reader) {
+            let since =
+                head.split("since=").nth(1).and_then(|rest| rest.split('&').next()?.parse::<u64>().ok());
+            let end = Instant::now() + Duration::from_millis(500);
+            while since.is_some_and(|since| since >= self.index()) && Instant::now() < end {
+                thread::sleep(Duration::from_millis(10));
+            }
+            let (index, entries) = self.list.lock().expect("held").clone();
+            let news = since.is_none_or(|since| since < index);
+            let entries = if news { entries } else { Vec::new() };
+            let body = json!({"index": index, "snapshot": news, "endpoints": entries}).to_string();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            if writer.write_all((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn index(&self) -> u64 {
+        self.list.lock().expect("held").0
+    }
+
+    pub fn tell(&self, entries: Vec<Value>) {
+        let mut list = self.list.lock().expect("held");
+        *list = (list.0 + 1, entries);
+    }
+}
+
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+/// An endpoint that passes its probes.
+pub fn endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 1024]);
+            let _ = stream
+                .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\nconnection: close\r\n\r\nbusy=0.2");
+        }
+    });
+    address
+}
+
+/// An endpoint whose answers to probes tests change, and which counts how often it was asked.
+pub struct Probed {
+    pub address: SocketAddr,
+    status: Arc<Mutex<&'static str>>,
+    asked: mpsc::Receiver<()>,
+}
+
+impl Probed {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let address = listener.local_addr().expect("bound");
+        let status = Arc::new(Mutex::new("200 OK"));
+        let (asks, asked) = mpsc::channel();
+        let told = status.clone();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let _ = stream.read(&mut [0; 1024]);
+                let head = format!("HTTP/1.1 {}\r\n", *told.lock().expect("held"));
+                let body = "content-length: 8\r\nconnection: close\r\n\r\nbusy=0.2";
+                let _ = stream.write_all((head + body).as_bytes());
+                let _ = asks.send(());
+            }
+        });
+        Probed { address, status, asked }
+    }
+
+    pub fn answer(&self, status: &'static str) {
+        *self.status.lock().expect("held") = status;
+        while self.asked.try_recv().is_ok() {}
+    }
+
+    /// Waits until it was asked so often.
+    pub fn asked(&self, times: usize) {
+        (0..times).for_each(|_| self.asked.recv_timeout(SOON).expect("it is asked"));
+    }
+}
+
+pub fn entry(name: &str, address: SocketAddr, status: &str, since_ms: u64) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "a", "type": "std", "group": 1,
+        "status": status, "weight": 1.0, "since_ms": since_ms})
+}
+
+pub fn wall() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("later").as_millis() as u64
+}
+
+/// A pilot with its configuration; it is ended with the test.
+pub struct House {
+    pub folder: tempfile::TempDir,
+    pub listen: SocketAddr,
+    pub pilot: Child,
+}
+
+impl House {
+    pub fn start(discovery: SocketAddr, sockets: usize) -> Self {
+        let free = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let listen = free.local_addr().expect("bound");
+        drop(free);
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("config.json");
+        std::fs::write(&path, config(listen, discovery, sockets)).expect("written");
+        let pilot = Command::new(PROGRAM)
+            .arg("platform")
+            .env("LB_CONFIG", &path)
+            .env("LOCKCROFT_LOG", "debug")
+            .stderr(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        House { folder, listen, pilot }
+    }
+
+    pub fn connect(&self) -> Proxy {
+        let end = Instant::now() + SOON;
+        loop {
+            if let Ok(stream) = TcpStream::connect(self.listen) {
+                stream.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+                return Proxy { stream, inbox: Vec::new() };
+            }
+            assert!(Instant::now() < end, "nobody listens");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn join(&self, proxy: usize, pieces: bool) -> Proxy {
+        let mut stream = self.connect();
+        let line = json!({"t": "attach", "node": proxy, "locality": "a", "w": 5.0, "cold": true}).to_string();
+        let (one, other) = line.split_at(if pieces { 9 } else { 0 });
+        stream.say(one);
+        thread::sleep(Duration::from_millis(if pieces { 60 } else { 0 }));
+        stream.say(&format!("{other}\n"));
+        stream
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.pilot.id() as i32).expect("a process");
+        kill_process(pid, signal).expect("it runs");
+    }
+
+    pub fn ended(&mut self, within: Duration) -> Option<i32> {
+        let end = Instant::now() + within;
+        loop {
+            match self.pilot.try_wait().expect("ours") {
+                Some(status) => return status.code(),
+                None if Instant::now() > end => return None,
+                None => thread::sleep(Duration::from_millis(10)),
+            }
+        }
+    }
+}
+
+impl Drop for House {
+    fn drop(&mut self) {
+        let _ = self.pilot.kill();
+        let _ = self.pilot.wait();
+    }
+}
+
+pub struct Proxy {
+    pub stream: TcpStream,
+    pub inbox: Vec<u8>,
+}
+
+impl Proxy {
+    pub fn say(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("taken");
+    }
+
+    /// Reads until a line has all of these words, or the other end closes.
+    pub fn until(&mut self, words: &[&str]) -> Option<String> {
+        let end = Instant::now() + SOON;
+        loop {
+            while let Some(at) = self.inbox.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.inbox.drain(..=at).collect();
+                let line = String::from_utf8_lossy(&line).into_owned();
+                if words.iter().all(|word| line.contains(word)) {
+                    return Some(line);
+                }
+            }
+            assert!(Instant::now() < end, "no line with {words:?} in time");
+            let mut room = [0; 4096];
+            match self.stream.read(&mut room) {
+                Ok(0) => return None,
+                Ok(read) => self.inbox.extend_from_slice(&room[..read]),
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Whether the other end closes in time, whatever it says before.
+    pub fn closes(&mut self) -> bool {
+        self.until(&["no line has this"]).is_none()
+    }
+}
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, sockets: usize) -> String {
+    json!({
+        "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        // A list of before with a version: its hold is short.
+        "known": {"index": 1, "snapshot": true, "endpoints": []},
+        "settings": {
+            "zones": ["a"], "kinds": ["std"], "fleet_size": 1, "policy_limits": {"probes": true},
+            "report": {"how": "on_probe"},
+            "classes": [{"name": "look", "target_us": 600_000, "deadline_us": 2_000_000, "worth": 3.0}],
+            "rules": {"cold_from": 0.25, "cold_us": 4_000_000, "drain_grace_us": 1_500_000},
+            "specifics": {"agents": 8, "egress_per_s": 5000.0, "queue_cap": 5000.0, "cycle_us": 1_000_000,
+                "propagation_us": 200_000, "overhead": 4.0, "min_conn_cap": 400.0},
+        },
+    })
+    .to_string()
+}
--- a/crates/platform/src/berth.rs
+++ b/crates/platform/src/berth.rs
@@ -1,7 +1,7 @@
 //! One proxy's stream: what was written on it, what it should hold, and the message between the two. A proxy
 //! that is slow to read gets no second message while one is being written, and then the last word only.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use lockcroft::{Class, Server, TableNumber};
 use lockcroft_naming::{Published, Sheet};
@@ -33,8 +33,13 @@
     cleared: BTreeSet<Server>,
     /// A message is still being written.
     pub busy: bool,
+    /// Marks that went out on this stream and were not answered, and what the decisions call them.
+    marks: VecDeque<(u64, f64)>,
 }
 
+/// So many marks of one stream may wait for their answers; a proxy that answers none has its oldest forgotten.
+const MARKS_MOST: usize = 64;
+
 /// What an order needs beside the berth.
 pub struct Desk<'a> {
     pub published: &'a Published,
@@ -45,7 +50,21 @@
 impl Berth {
     pub fn new(link: Link, fresh: bool) -> Self {
         let (laid, cleared) = (BTreeMap::new(), BTreeSet::new());
-        Berth { link, fresh, laid, shut: BTreeSet::new(), told: BTreeSet::new(), cleared, busy: false }
+        let (shut, told, marks) = (BTreeSet::new(), BTreeSet::new(), VecDeque::new());
+        Berth { link, fresh, laid, shut, told, cleared, busy: false, marks }
+    }
+
+    pub fn marked(&mut self, number: u64, mark: f64) {
+        self.marks.push_back((number, mark));
+        if self.marks.len() > MARKS_MOST {
+            self.marks.pop_front();
+        }
+    }
+
+    /// The proxy says that it has applied the mark of this number; none where it was not asked for it.
+    pub fn applied(&mut self, number: u64) -> Option<f64> {
+        let at = self.marks.iter().position(|(asked, _)| *asked == number)?;
+        self.marks.drain(..=at).next_back().map(|(_, mark)| mark)
     }
 
     pub fn bind(&mut self, table: TableNumber, classes: Vec<Class>) {
@@ -56,14 +75,13 @@
         self.laid.contains_key(&table)
     }
 
-    /// Keeps it from a server, or ends that. A proxy whose every class is on tables of ours that have no line
-    /// of the server needs no word.
+    /// Keeps it from a server, or ends that. A proxy whose every class is on tables of ours needs no word:
+    /// the server's line goes, or went.
     pub fn withdraw(&mut self, server: Server, withdrawn: bool, classes: usize) {
         let bound: usize = self.laid.values().map(|laid| laid.classes.len()).sum();
-        let holds = |laid: &Laid| laid.written.as_ref().is_none_or(|sheet| sheet.lines.contains_key(&server));
         if !withdrawn {
             self.shut.remove(&server);
-        } else if bound < classes || self.laid.values().any(holds) {
+        } else if bound < classes {
             self.shut.insert(server);
         }
     }
--- a/crates/platform/src/codec.rs
+++ b/crates/platform/src/codec.rs
@@ -42,9 +42,10 @@
         class: Class,
         visits: u32,
     },
-    /// An answer to a mark; the decisions ask for none.
-    Marked {
+    /// It has applied all up to the mark of this number.
+    Applied {
         proxy: Proxy,
+        mark: u64,
     },
 }
 
@@ -80,6 +81,8 @@
     }
 }
 
+/// Marks are numbered from 0 up to below this, and round again.
+pub const MARKS: u64 = 1 << 16;
 /// More tries than this, or a span of more milliseconds, can't be true of one report.
 const COUNT_MOST: f64 = 1e7;
 
@@ -133,8 +136,8 @@
         }
         "done" => {
             fields.number("latency", COUNT_MOST)?;
-            fields.count("nonce")?;
-            Ok(Message::Marked { proxy: fields.proxy(known)? })
+            let mark = u64::from(fields.count("nonce")?);
+            Ok(Message::Applied { proxy: fields.proxy(known)?, mark })
         }
         "upstream_stats" => met(&fields, known),
         "client_stats" => {
@@ -212,10 +215,22 @@
     pub eject: Vec<&'a str>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub restore: Vec<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub nonce_out: Option<u64>,
     #[serde(skip_serializing_if = "is_false")]
     pub continued: bool,
 }
 
+impl Part<'_> {
+    /// What counts as a line in it, where so many classes are meant if none is named.
+    pub fn lines(&self, classes: usize) -> usize {
+        let named = self.endpoints.len() + self.eject.len() + self.restore.len();
+        let meant = self.routes.as_ref().map_or(classes, Vec::len);
+        let levels = if self.admit.is_some() { meant } else { 0 };
+        named + levels + usize::from(self.full) + usize::from(self.nonce_out.is_some())
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Assign {
@@ -238,24 +253,3 @@
     // Texts, numbers and lists of them always have a form in JSON.
     serde_json::to_string(value).unwrap_or_default() + "\n"
 }
-
-#[cfg(test)]
-mod tests {
-    use super::load;
-
-    #[test]
-    fn load_reports_by_either_name() {
-        for (report, wanted) in [
-            ("busy=0", Some(0.0)),
-            ("inflight=7,queue=2,util=0.61", Some(0.61)),
-            ("rif=7, busy=0.97\n", Some(0.97)),
-            ("busy=-1", None),
-            ("busy=NaN", None),
-            ("busy=", None),
-            ("busybody=1", None),
-            ("", None),
-        ] {
-            assert_eq!(load(report), wanted, "{report:?}");
-        }
-    }
-}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use lockcroft::Terms;
+use lockcroft::{Term, Terms};
 use lockcroft_naming::settings;
 use serde_json::Value;
 
@@ -38,6 +38,9 @@
             .as_u64()
             .and_then(|sockets| usize::try_from(sockets).ok())
             .ok_or_else(|| format!("limits.sockets: {sockets}; allowed: a whole number"))?;
+        let mut terms = settings(&value["settings"])?;
+        // On this wire, a proxy keeps over a change of streams whom it was told to shut out.
+        terms.0.insert("fleet.keeps_withdrawals".into(), Term::Flag(true));
         Ok(Config {
             name: word("name")?.to_string(),
             listen: address("listen")?,
@@ -45,7 +48,7 @@
             seed,
             sockets,
             known: value.get("known").filter(|known| !known.is_null()).cloned(),
-            terms: settings(&value["settings"])?,
+            terms,
         })
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,5 +11,6 @@
 mod station;
 
 pub use berth::Link;
+pub use codec::load;
 pub use config::Config;
 pub use station::{Effect, Station};
--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/station.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, info, warn};
 
 use crate::berth::{Berth, Desk, Link};
-use crate::codec::{self, Bounds, Fault, Known, Message};
+use crate::codec::{self, Bounds, Fault, Known, Message, Part};
 use crate::config::Config;
 use crate::door::{COLLECTORS, Door, Knock};
 use crate::roster::Roster;
@@ -70,6 +70,7 @@
     door: Door,
     touched: BTreeSet<Proxy>,
     effects: VecDeque<Effect>,
+    marks: u64,
     pub sums: Sums,
 }
 
@@ -87,6 +88,7 @@
             door: Door::new(config.sockets),
             touched: BTreeSet::new(),
             effects: VecDeque::new(),
+            marks: 0,
             sums: Sums::default(),
             pilot: Pilot::new(terms, config.seed),
         }
@@ -131,7 +133,7 @@
         let name = self.roster.name(server);
         // What a former address says is nothing about the server that has moved on.
         let still = self.roster.address(server) == Some(address);
-        let finding = if still { finding } else { Finding::TurnedAway };
+        let finding = if still { finding } else { Finding::Moved };
         debug!(target: "lockcroft::probe", name, ?finding, us = took.as_micros() as u64);
         self.pilot.probed(now, server, finding, took);
     }
@@ -182,7 +184,12 @@
                 debug!(target: "lockcroft::report", proxy, class, visits, "came");
                 self.pilot.counted(proxy, class, visits);
             }
-            (Ok(Message::Marked { proxy }), Role::Proxy(own)) if proxy == own => {}
+            (Ok(Message::Applied { proxy, mark }), Role::Proxy(own)) if proxy == own => {
+                match self.berths.get_mut(&proxy).and_then(|berth| berth.applied(mark)) {
+                    Some(mark) => self.pilot.applied(mark),
+                    None => self.spoilt(link, "a mark that was not asked for"),
+                }
+            }
             (Ok(_), _) => self.spoilt(link, "nothing that is said here"),
         }
     }
@@ -318,21 +325,37 @@
         self.touched.extend(meant.map(|(proxy, _)| *proxy));
     }
 
-    /// All that was decided at one time goes out as one message to each proxy concerned.
+    /// All that was decided at one time goes out as one message to each proxy concerned. The last of them
+    /// carries a mark: what goes to one proxy after the other leaves the channel in that order, so its answer
+    /// tells that all of it has left.
     fn send(&mut self) {
         let desk = Desk { published: &self.published, roster: &self.roster, classes: &self.places.classes };
-        for proxy in std::mem::take(&mut self.touched) {
-            let Some(berth) = self.berths.get_mut(&proxy).filter(|berth| !berth.busy) else { continue };
+        let touched = std::mem::take(&mut self.touched);
+        let due = touched.into_iter().filter_map(|proxy| {
+            let berth = self.berths.get_mut(&proxy).filter(|berth| !berth.busy)?;
             let parts = berth.message(&desk);
-            if parts.is_empty() {
-                continue;
-            }
-            berth.busy = true;
+            berth.busy = !parts.is_empty();
+            berth.busy.then_some((proxy, parts))
+        });
+        let mut due: Vec<(Proxy, Vec<Part>)> = due.collect();
+        let marked = due.last_mut().and_then(|(proxy, parts)| Some((proxy, parts.last_mut()?)));
+        if let Some((proxy, part)) = marked {
+            part.nonce_out = Some(self.marks);
+            let proxy = *proxy;
+            let classes = self.places.classes.len();
+            let lines = due.iter().flat_map(|(_, parts)| parts).map(|part| part.lines(classes)).sum();
+            let mark = self.pilot.sent(due.len(), lines);
+            self.berths.get_mut(&proxy).into_iter().for_each(|berth| berth.marked(self.marks, mark));
+            self.marks = (self.marks + 1) % codec::MARKS;
+        }
+        for (proxy, parts) in due {
             (self.sums.messages, self.sums.parts) =
                 (self.sums.messages + 1, self.sums.parts + parts.len() as u64);
             let text = codec::message(parts);
             debug!(target: "lockcroft::order", proxy, bytes = text.len(), "sent");
-            self.effects.push_back(Effect::Write { link: berth.link, text });
+            if let Some(berth) = self.berths.get(&proxy) {
+                self.effects.push_back(Effect::Write { link: berth.link, text });
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/platform/tests/station/loads.rs
@@ -0,0 +1,19 @@
+//! Load reports of servers.
+
+use lockcroft_platform::load;
+
+#[test]
+fn load_reports_by_either_name() {
+    for (report, wanted) in [
+        ("busy=0", Some(0.0)),
+        ("inflight=7,queue=2,util=0.61", Some(0.61)),
+        ("rif=7, busy=0.97\n", Some(0.97)),
+        ("busy=-1", None),
+        ("busy=NaN", None),
+        ("busy=", None),
+        ("busybody=1", None),
+        ("", None),
+    ] {
+        assert_eq!(load(report), wanted, "{report:?}");
+    }
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -195,6 +195,11 @@
     waiting: [f64; 2],
     /// Lines that wait by the host's word, where it gives one.
     pub queued: Option<f64>,
+    /// Lines sent since the start, and those of them that are known to have left the channel.
+    sent: f64,
+    applied: f64,
+    /// Lines sent up to the last mark.
+    marked: f64,
     as_of: Duration,
     /// Whom the orders of this time went to.
     begun: Vec<Whom>,
@@ -269,7 +274,26 @@
             *waiting = (*waiting - span * pace).max(0.0);
         }
         self.as_of = now;
-        self.waiting.map(|waiting| waiting.max(self.queued.unwrap_or(0.0)))
+        let most = if self.applied > 0.0 { self.sent - self.applied } else { f64::INFINITY };
+        self.waiting.map(|waiting| waiting.min(most).max(self.queued.unwrap_or(0.0)))
+    }
+
+    /// So many lines went out since the last mark, whatever they were taken to be; gives out the next mark.
+    pub fn mark(&mut self, lines: f64) -> f64 {
+        self.cost(lines - (self.sent - self.marked));
+        self.marked = self.sent;
+        self.sent
+    }
+
+    /// The mark that was given this number was applied: what went before has left the channel.
+    pub fn applied(&mut self, mark: f64) {
+        self.applied = self.applied.max(mark);
+    }
+
+    fn cost(&mut self, lines: f64) {
+        self.sent += lines;
+        self.waiting.iter_mut().for_each(|waiting| *waiting += lines);
+        self.queued = self.queued.map(|queued| queued + lines);
     }
 
     /// How many messages an order of this time would begin, and how many the proxy among them with the
@@ -288,8 +312,7 @@
 
     pub fn send(&mut self, whom: Whom, cost: f64) {
         let now = self.as_of;
-        self.waiting.iter_mut().for_each(|waiting| *waiting += cost);
-        self.queued = self.queued.map(|queued| queued + cost);
+        self.cost(cost);
         if !self.begun.contains(&whom) {
             let new = reached(&mut self.proxies, whom).filter(|joined| joined.messages.back() != Some(&now));
             new.for_each(|joined| joined.messages.push_back(now));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,8 @@
     Refused,
     /// Turned away, which says nothing of the server's health.
     TurnedAway,
+    /// It ended at an address that the server has left since, which says nothing at all.
+    Moved,
 }
 
 /// One decision, to be carried out by the host before it asks for the next. All decisions given
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,14 +1,13 @@
 //! All decisions of lockcroft, with every table and tuned value.
 //!
-//! How it is called: the host makes one [`Pilot`] an instance and calls the method named for what
-//! became known (`listed`, `probed`, `reported`, `counted`, `joined`, `left`, `queued`). These only
-//! update what is known. It then pulls `next_decision(now)` until there is none, and comes back at
-//! `next_due`. The types of the interface stand in `lib.rs`, what is read at the start in `terms.rs`,
-//! what is known and its sums in `ledger.rs`.
+//! How it is called: the host makes one [`Pilot`] an instance and calls the method named for what is new
+//! (`listed`, `probed`, `joined`, ...), which only updates what is known. It pulls `next_decision(now)` until
+//! there is none, and comes back at `next_due`. The types of the interface stand in `lib.rs`, what is read at
+//! the start in `terms.rs`, what is known and its sums in `ledger.rs`.
 //!
-//! The design: probes move a saturating rise/fall counter; a server has its listed weight while it is
-//! up and none otherwise; one shared table for classes that may use the same servers; only changed lines
-//! go out; after a start nothing is pushed until probes converge. Beside it stand six mechanisms:
+//! The design: probes move a saturating rise/fall counter; a server has its listed weight while it is up, and
+//! none otherwise; one shared table for classes with the same servers; only changed lines go out; after a
+//! start nothing is pushed until probes converge. Beside it stand six mechanisms:
 //! 1. Evidence: what proxies met at a server moves its counter too, up and down.
 //! 2. Relief: servers that miss the contract time drop in weight, first for classes with more choice.
 //! 3. Return: a started server begins with the stated cold share; in an uneasy part only if it tells room.
@@ -91,8 +90,8 @@
 /// is weaker than those beside it by so much, and a table of which so little is left is filled at once.
 const SPILL: f64 = 1.1;
 const WEAK: f64 = 0.4;
-/// The channel is taken to send this many times slower than stated, as on bad days it does, and so many for
-/// drains: a wave of them would else wait for what may never be true, and the grace runs.
+/// The channel is taken to be so much slower than stated, as on bad days it is, and so much for drains: a
+/// wave of them would else wait for what may never be true. Where marks are answered, those tell.
 const SLOWEST: f64 = 8.0;
 const SLOW: f64 = 4.0;
 
@@ -209,8 +208,7 @@
             }
         }
         self.each = self.tables.len() / self.parts;
-        let rank = |gate: &Gate| gate.earnings / gate.contract;
-        self.gates.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
+        self.gates.sort_by(|a, b| (a.earnings / a.contract).total_cmp(&(b.earnings / b.contract)));
     }
 
     /// The list of servers is at this version; `full` says that the entries are all of it.
@@ -283,10 +281,12 @@
                 known.load = known.load.map(|_| 1.0);
                 0
             }
+            Finding::Moved => 0,
             Finding::Failed | Finding::Refused => -1,
         };
-        // What comes after the wait was counted as lost then.
-        if took <= PROBE_WAIT {
+        // It ends the probe that is out, not one before, within the wait: what comes later was lost then.
+        let out = |sent: Duration| sent + took <= now && now < sent + PROBE_WAIT;
+        if known.probe_sent.is_some_and(out) {
             self.probe_ended(now, server, by);
         }
     }
@@ -308,9 +308,9 @@
 
     /// A proxy's stream stands. Its tables are of before; unless `fresh`, it may shun what failed it.
     pub fn joined(&mut self, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
-        self.news = true;
         let part = (self.parts == 1).then_some(0);
         self.channel.join(proxy, Joined { zone, rate, fresh, part, ..Joined::default() });
+        self.news = true;
     }
 
     pub fn left(&mut self, proxy: Proxy) {
@@ -322,17 +322,16 @@
         self.gates.iter_mut().filter(|gate| gate.class == class).for_each(|gate| gate.planned = share);
     }
 
-    /// A plan made ahead for one table: what each server has there of its listed weight, from 0 to 1, and
-    /// nothing for those not named. Where too few of them are well, all beside it stand in, as listed.
+    /// A plan made ahead for one table: what each server has there of its listed weight, none for those not
+    /// named. Where too few of them are well, all beside it stand in, as listed.
     pub fn apportioned(&mut self, table: TableNumber, shares: BTreeMap<Server, f64>) {
         if let Some(table) = self.tables.get_mut(table) {
             table.shares = shares;
         }
     }
 
-    /// What was known of a server before this start, as far as it is still good: its relief, how long ago it
-    /// was started and what is left of its warm-up, and of a doubt. One that is gone is named, as proxies may
-    /// still hold it. This makes nothing less careful.
+    /// What was known of a server before this start and is still good: relief, how long ago it was started,
+    /// what is left of its warm-up and of a doubt. One that is gone is named: proxies may still hold it.
     pub fn recalled(
         &mut self,
         now: Duration,
@@ -361,8 +360,10 @@
     /// A level of before this start that is still to be believed.
     pub fn recalled_level(&mut self, class: Class, table: TableNumber, level: f64) {
         let meant = |gate: &&mut Gate| gate.class == class && gate.table == table;
-        let gates = self.gates.iter_mut().filter(meant);
-        gates.for_each(|gate| gate.level = gate.level.min(level.max(ALWAYS_LEFT)));
+        self.gates
+            .iter_mut()
+            .filter(meant)
+            .for_each(|gate| gate.level = gate.level.min(level.max(ALWAYS_LEFT)));
     }
 
     /// So many lines really wait, where the host can tell: proxies that stall take none.
@@ -370,6 +371,16 @@
         self.channel.queued = Some(lines as f64);
     }
 
+    /// So many messages with so many lines went out, where the host can tell; the last has this mark.
+    pub fn sent(&mut self, messages: usize, lines: usize) -> f64 {
+        let head = self.terms.number("fleet.message_head_lines").unwrap_or(0.0);
+        self.channel.mark(lines as f64 + messages as f64 * head)
+    }
+
+    pub fn applied(&mut self, mark: f64) {
+        self.channel.applied(mark);
+    }
+
     /// What is believed of each server, the tables as wanted and published, and what is let in, to be shown.
     pub fn beliefs(&self) -> (&BTreeMap<Server, Known>, &[Table], &[Gate]) {
         (&self.servers, &self.tables, &self.gates)
@@ -389,14 +400,13 @@
             if matches!(&order, Order::Withdraw(server, true) if heard(server)) {
                 continue;
             }
-            let binds = |order: &Order| matches!(order, Order::Bind(..));
-            let one = binds(&order);
+            let one = matches!(order, Order::Bind(..));
             let taken = self.take(now, part, order);
             if taken.is_some() {
                 return taken;
             }
             // Sent from the top: what ranks lower waits as well, but for proxies without a table.
-            self.steps.retain(|step| one || step.0 > part || binds(&step.1));
+            self.steps.retain(|step| one || step.0 > part || matches!(step.1, Order::Bind(..)));
         }
         self.ready.pop_front()
     }
@@ -482,8 +492,7 @@
             if step {
                 self.shed(part);
             }
-            let mut gates = self.gates.iter().filter(|gate| self.tables[gate.table].part == part);
-            let shedding = gates.any(|gate| gate.level < 1.0);
+            let shedding = self.gates.iter().any(|g| g.level < 1.0 && self.tables[g.table].part == part);
             self.next_step = if shedding && step { now + settle } else { self.next_step };
             let well = fresh.tries >= 1.0 && fresh.failing() <= SOUND;
             if shedding || !well || fresh.lateness(contract) > LATE {
@@ -497,9 +506,8 @@
     fn shed(&mut self, part: usize) {
         let own = self.lanes(part);
         let late = |gate: &&Gate| own.contains(&gate.table) && self.tables[gate.table].late > LATE;
-        let suffering = self.gates.iter().filter(late);
         let work = |gate: &Gate| gate.contract * gate.demand.max(1e-9);
-        let let_in: f64 = suffering.map(|gate| work(gate) * gate.level).sum();
+        let let_in: f64 = self.gates.iter().filter(late).map(|gate| work(gate) * gate.level).sum();
         let worst = self.tables[own.clone()].iter().fold(LATE, |worst, table| worst.max(table.late));
         let mut out = let_in * (1.0 - (LATE / worst).max(SHED_STEP));
         // A class that may go elsewhere makes room where one that may not is late.
@@ -680,8 +688,9 @@
             true => known.heard < newest,
             false => known.withdrawn && newest == 0 && !held(server),
         });
-        let step = |known: &Known, server| Order::Withdraw(server, known.kept_out(now, holding));
-        due.map(|(server, known)| Step(DRAINING, step(known, *server))).collect()
+        let order =
+            |(server, known): (&Server, &Known)| Order::Withdraw(*server, known.kept_out(now, holding));
+        due.map(|at| Step(DRAINING, order(at))).collect()
     }
 
     /// Changed lines, ranked by the traffic that each moves. A server that drains, is gone or was started
@@ -703,11 +712,8 @@
                 let fills = bare && *weight > held && back;
                 if out || fills || pushing && *weight != held && !known.withdrawn {
                     // Filling a table takes many lines: the room for drains is not for them.
-                    let part = match (out, fills) {
-                        (true, _) => DRAINING,
-                        (_, true) => BINDING,
-                        _ => COMMON,
-                    };
+                    let part = if fills { BINDING } else { COMMON };
+                    let part = if out { DRAINING } else { part };
                     let moves = (weight - held).abs() / total.max(1e-9) * (1.0 + demand);
                     ranked.push((moves, Step(part, Order::Weigh(index, *server))));
                 }
@@ -726,17 +732,16 @@
     fn take(&mut self, now: Duration, part: f64, order: Order) -> Option<Decision> {
         match order {
             Order::Withdraw(server, withdrawn) => {
-                let heard = self.servers.get(&server)?.heard;
-                self.spend(now, 1, Whom::Unbound(self.each, heard), part)?;
+                let unheard = Whom::Unbound(self.each, self.servers[&server].heard);
+                self.spend(now, 1, if withdrawn { unheard } else { Whom::Unbound(usize::MAX, 0) }, part)?;
                 let (known, all) = (self.servers.get_mut(&server)?, self.channel.joinings);
                 (known.withdrawn, known.heard) = (withdrawn, if withdrawn { all } else { 0 });
                 Some(Decision::Withdraw { server, withdrawn })
             }
             Order::Weigh(index, server) => {
                 self.spend(now, 1, Whom::On(index), part)?;
-                let table = &mut self.tables[index];
-                let weight = table.wants(server);
-                table.lines.insert(server, weight);
+                let weight = self.tables[index].wants(server);
+                self.tables[index].lines.insert(server, weight);
                 Some(Decision::Weigh { table: index, server, weight })
             }
             Order::Admit(index, share) => {
@@ -753,9 +758,11 @@
             Order::Bind(index, proxy) => {
                 let lines = Some(self.tables[index].laid()).filter(|lines| *lines > 0)?;
                 let classes: Vec<Class> = self.gates_of(index).map(|gate| gate.class).collect();
-                self.spend(now, 1 + classes.len() + lines, Whom::One(proxy), part)?;
-                self.channel.bind(proxy, index);
                 let fresh = self.channel.proxies.get(&proxy).is_some_and(|joined| joined.fresh);
+                // What others withdrew at it, and it keeps to, goes with a line that lets it back.
+                let back = if fresh || !self.terms.flag("fleet.keeps_withdrawals") { 0 } else { lines };
+                self.spend(now, 1 + classes.len() + lines + back, Whom::One(proxy), part)?;
+                self.channel.bind(proxy, index);
                 if !fresh && self.terms.number("fleet.shuns_after").is_some_and(|tries| tries > 0.0) {
                     let part = self.tables[index].part;
                     self.uneasy_until[part] = now + self.terms.span("rules.warm_within_us").mul_f64(UNEASY);
@@ -783,8 +790,7 @@
         let eased = |known: &Known| if fixed { 1.0 } else { known.relief * kept(known) };
         // A table that had to be laid early counts on all that are not known to be down.
         let up = |known: &Known| known.up() || known.counter.is_none() && now < HOLD_LEAST;
-        let here = self.servers.iter().filter(|(_, known)| self.beside(table, known));
-        let members: Vec<(&Server, &Known)> = here.collect();
+        let members: Vec<_> = self.servers.iter().filter(|(_, known)| self.beside(table, known)).collect();
         // Where many tries fail, or nothing is known of them yet, all may come again at once: a cold one
         // would be pushed over before it tells that it is full.
         let calm = table.failing.is_some_and(|failing| failing <= SOUND);
@@ -819,8 +825,7 @@
         // an uneasy part count little: alone they would get the visits of all that it lost.
         let strength = |alone: bool| {
             let of = members.iter().map(|at| (at, share(alone, at))).filter(|(_, share)| *share > 0.0);
-            let able = |at: &(&Server, &Known), share| weight(at.0, at.1, share) > 0.0;
-            let able = of.clone().filter(|(at, share)| able(at, *share));
+            let able = of.clone().filter(|(at, share)| weight(at.0, at.1, *share) > 0.0);
             let counts = |known: &Known| if carries(known) { 1.0 } else { WARY };
             let sum: f64 = able.map(|(at, share)| listed(at.1, counts(at.1)) * share).sum();
             sum / of.map(|(at, share)| at.1.listing.weight * share).sum::<f64>().max(1e-9)
@@ -829,10 +834,8 @@
         // What a full part gives away goes to one beside it.
         let (home, helper) = self.home[table.part];
         let leans = alone && home < 1.0 && table.shares.is_empty();
-        let sum = |part: usize| -> f64 {
-            let of = members.iter().filter(|(_, known)| known.part == part);
-            of.map(|at| weight(at.0, at.1, 1.0)).sum()
-        };
+        let of = |part: usize| members.iter().filter(move |at| at.1.part == part);
+        let sum = |part: usize| of(part).map(|at| weight(at.0, at.1, 1.0)).sum::<f64>();
         let away = if leans { (1.0 / home - 1.0) * sum(table.part) / sum(helper).max(1e-9) } else { 0.0 };
         let part = |at: &(&Server, &Known)| match share(alone, at) {
             0.0 if leans && at.1.part == helper => weight(at.0, at.1, away.min(1.0)),
--- a/tests/pilot/main.rs
+++ b/tests/pilot/main.rs
@@ -4,4 +4,5 @@
 mod failures;
 mod herds;
 mod plans;
+mod probes;
 mod stage;
