Name the platform's parts by the field's terms: stream, admission, connection, controller

Names only, whole concepts with their files and docs: berth is a proxy's stream, door the admission of connections, guest one that has not joined, hand a connection's handle, link a connection's id, desk the context of an order, station the controller. What the wire says stays.

--- a/crates/platform/src/station.rs
+++ b/crates/platform/src/controller.rs
@@ -11,27 +11,27 @@
 use serde_json::Value;
 use tracing::{debug, info, warn};
 
-use crate::berth::{Berth, Desk, Link};
+use crate::admission::{Acceptance, Admission, COLLECTORS};
 use crate::codec::{self, Bounds, Fault, Known, Message, Part};
 use crate::config::Config;
-use crate::door::{COLLECTORS, Door, Knock};
 use crate::roster::Roster;
+use crate::stream::{ConnectionId, Context, ProxyStream};
 
 /// What is to be done on sockets.
 #[derive(Debug, PartialEq)]
 pub enum Effect {
-    /// Write; [`Station::written`] tells when all of it is out.
+    /// Write; [`Controller::written`] tells when all of it is out.
     Write {
-        link: Link,
+        connection: ConnectionId,
         text: String,
     },
     /// Write what waits, then end the connection.
     End {
-        link: Link,
+        connection: ConnectionId,
     },
     /// End the connection at once.
     Drop {
-        link: Link,
+        connection: ConnectionId,
     },
     Probe {
         server: Server,
@@ -42,7 +42,7 @@
 /// Who is at the other end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
-    Guest,
+    Unjoined,
     Collector(Zone),
     Proxy(Proxy),
 }
@@ -57,7 +57,7 @@
     pub reports: u64,
 }
 
-pub struct Station {
+pub struct Controller {
     pilot: Pilot,
     places: Places,
     bounds: Bounds,
@@ -65,27 +65,27 @@
     pub asks_load: bool,
     roster: Roster,
     published: Published,
-    berths: BTreeMap<Proxy, Berth>,
-    links: BTreeMap<Link, Role>,
-    door: Door,
+    streams: BTreeMap<Proxy, ProxyStream>,
+    connections: BTreeMap<ConnectionId, Role>,
+    admission: Admission,
     touched: BTreeSet<Proxy>,
     effects: VecDeque<Effect>,
     marks: u64,
     pub sums: Sums,
 }
 
-impl Station {
+impl Controller {
     pub fn new(config: &Config) -> Self {
         let terms = config.terms.clone();
-        Station {
+        Controller {
             places: Places::read(&terms),
             bounds: Bounds::read(&terms),
             asks_load: terms.text("report.how") == Some("on_probe"),
             roster: Roster::default(),
             published: Published::default(),
-            berths: BTreeMap::new(),
-            links: BTreeMap::new(),
-            door: Door::new(config.sockets),
+            streams: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            admission: Admission::new(config.sockets),
             touched: BTreeSet::new(),
             effects: VecDeque::new(),
             marks: 0,
@@ -138,39 +138,41 @@
         self.pilot.probed(now, server, finding, took);
     }
 
-    pub fn knock(&self, now: Duration) -> Knock {
-        self.door.knock(now, self.roster.len())
+    pub fn acceptance(&self, now: Duration) -> Acceptance {
+        self.admission.acceptance(now, self.roster.len())
     }
 
-    pub fn entered(&mut self, now: Duration, link: Link) {
-        self.door.entered(now, link);
-        self.links.insert(link, Role::Guest);
+    pub fn accepted(&mut self, now: Duration, connection: ConnectionId) {
+        self.admission.accepted(now, connection);
+        self.connections.insert(connection, Role::Unjoined);
     }
 
     /// The most bytes of a line on this connection.
-    pub fn line_most(&self, link: Link) -> usize {
-        match self.links.get(&link) {
-            Some(Role::Guest) | None => codec::FIRST_MOST,
+    pub fn line_most(&self, connection: ConnectionId) -> usize {
+        match self.connections.get(&connection) {
+            Some(Role::Unjoined) | None => codec::FIRST_MOST,
             Some(_) => codec::LINE_MOST,
         }
     }
 
     /// A line came, without its end.
-    pub fn read(&mut self, now: Duration, link: Link, line: &[u8]) {
-        let Some(role) = self.links.get(&link).copied() else { return };
+    pub fn read(&mut self, now: Duration, connection: ConnectionId, line: &[u8]) {
+        let Some(role) = self.connections.get(&connection).copied() else { return };
         let known = Known { places: &self.places, roster: &self.roster, bounds: &self.bounds };
         match (codec::read(line, &known), role) {
             (Ok(Message::Alive), _) => {
-                self.effects.push_back(Effect::Write { link, text: codec::ALIVE.into() });
+                self.effects.push_back(Effect::Write { connection, text: codec::ALIVE.into() });
             }
-            (Ok(Message::Collects { zone }), Role::Guest) => self.collects(link, zone),
-            (Ok(Message::Joins { proxy, zone, rate, fresh }), Role::Guest) => {
-                self.joins(link, proxy, zone, rate, fresh);
+            (Ok(Message::Collects { zone }), Role::Unjoined) => self.collects(connection, zone),
+            (Ok(Message::Joins { proxy, zone, rate, fresh }), Role::Unjoined) => {
+                self.joins(connection, proxy, zone, rate, fresh);
             }
-            (Err(Fault::Unreadable(why) | Fault::Spoilt(why)), Role::Guest) => self.reject(link, &why),
-            (Ok(_), Role::Guest) => self.reject(link, "reports come after a joining"),
-            (Err(Fault::Unreadable(why)), _) => self.reject(link, &why),
-            (Err(Fault::Spoilt(why)), _) => self.spoilt(link, &why),
+            (Err(Fault::Unreadable(why) | Fault::Spoilt(why)), Role::Unjoined) => {
+                self.reject(connection, &why)
+            }
+            (Ok(_), Role::Unjoined) => self.reject(connection, "reports come after a joining"),
+            (Err(Fault::Unreadable(why)), _) => self.reject(connection, &why),
+            (Err(Fault::Spoilt(why)), _) => self.spoilt(connection, &why),
             (Ok(Message::Met { server, tries, failed, took }), Role::Collector(_)) => {
                 self.sums.reports += 1;
                 let (name, ms) = (self.roster.name(server), took.as_millis() as u64);
@@ -185,89 +187,89 @@
                 self.pilot.counted(proxy, class, visits);
             }
             (Ok(Message::Applied { proxy, mark }), Role::Proxy(own)) if proxy == own => {
-                match self.berths.get_mut(&proxy).and_then(|berth| berth.applied(mark)) {
+                match self.streams.get_mut(&proxy).and_then(|stream| stream.applied(mark)) {
                     Some(mark) => self.pilot.applied(mark),
-                    None => self.spoilt(link, "a mark that was not asked for"),
+                    None => self.spoilt(connection, "a mark that was not asked for"),
                 }
             }
-            (Ok(_), _) => self.spoilt(link, "nothing that is said here"),
+            (Ok(_), _) => self.spoilt(connection, "nothing that is said here"),
         }
     }
 
-    fn spoilt(&mut self, link: Link, why: &str) {
+    fn spoilt(&mut self, connection: ConnectionId, why: &str) {
         self.sums.spoilt += 1;
-        debug!(target: "lockcroft::input", link, why, "spoilt message");
+        debug!(target: "lockcroft::input", connection, why, "spoilt message");
     }
 
     /// Says no, and ends the connection.
-    pub fn reject(&mut self, link: Link, why: &str) {
+    pub fn reject(&mut self, connection: ConnectionId, why: &str) {
         self.sums.rejected += 1;
-        debug!(target: "lockcroft::input", link, why, role = ?self.links.get(&link), "rejected");
-        self.effects.push_back(Effect::Write { link, text: codec::reject(why) });
-        self.effects.push_back(Effect::End { link });
-        self.ended(link);
+        debug!(target: "lockcroft::input", connection, why, role = ?self.connections.get(&connection), "rejected");
+        self.effects.push_back(Effect::Write { connection, text: codec::reject(why) });
+        self.effects.push_back(Effect::End { connection });
+        self.ended(connection);
     }
 
-    fn collects(&mut self, link: Link, zone: Zone) {
-        let alike = self.links.iter().filter(|(_, role)| **role == Role::Collector(zone));
-        let alike: Vec<Link> = alike.map(|(link, _)| *link).collect();
+    fn collects(&mut self, connection: ConnectionId, zone: Zone) {
+        let alike = self.connections.iter().filter(|(_, role)| **role == Role::Collector(zone));
+        let alike: Vec<ConnectionId> = alike.map(|(connection, _)| *connection).collect();
         if alike.len() >= COLLECTORS {
-            self.drop_link(alike[0]);
+            self.drop_connection(alike[0]);
         }
-        info!(target: "lockcroft::input", link, zone = self.places.zones[zone], "a collector joined");
-        self.links.insert(link, Role::Collector(zone));
-        self.door.joined(link);
+        info!(target: "lockcroft::input", connection, zone = self.places.zones[zone], "a collector joined");
+        self.connections.insert(connection, Role::Collector(zone));
+        self.admission.joined(connection);
     }
 
-    fn joins(&mut self, link: Link, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
+    fn joins(&mut self, connection: ConnectionId, proxy: Proxy, zone: Zone, rate: f64, fresh: bool) {
         // A new stream may come before the old one is seen to end, which then ends for nobody.
-        let old = self.berths.get(&proxy).map(|berth| berth.link);
+        let old = self.streams.get(&proxy).map(|stream| stream.connection);
         if let Some(old) = old {
-            self.drop_link(old);
+            self.drop_connection(old);
         }
-        info!(target: "lockcroft::input", link, proxy, fresh, rate, renews = old, "joined");
-        self.links.insert(link, Role::Proxy(proxy));
-        self.door.joined(link);
-        self.berths.insert(proxy, Berth::new(link, fresh));
+        info!(target: "lockcroft::input", connection, proxy, fresh, rate, renews = old, "joined");
+        self.connections.insert(connection, Role::Proxy(proxy));
+        self.admission.joined(connection);
+        self.streams.insert(proxy, ProxyStream::new(connection, fresh));
         self.pilot.joined(proxy, zone, rate, fresh);
     }
 
-    fn drop_link(&mut self, link: Link) {
-        self.ended(link);
-        self.effects.push_back(Effect::Drop { link });
+    fn drop_connection(&mut self, connection: ConnectionId) {
+        self.ended(connection);
+        self.effects.push_back(Effect::Drop { connection });
     }
 
     /// The connection ended, by whomever.
-    pub fn ended(&mut self, link: Link) {
-        let Some(role) = self.links.remove(&link) else { return };
-        self.door.ended(link);
+    pub fn ended(&mut self, connection: ConnectionId) {
+        let Some(role) = self.connections.remove(&connection) else { return };
+        self.admission.ended(connection);
         if let Role::Proxy(proxy) = role {
-            info!(target: "lockcroft::input", link, proxy, "left");
-            self.berths.remove(&proxy);
+            info!(target: "lockcroft::input", connection, proxy, "left");
+            self.streams.remove(&proxy);
             self.pilot.left(proxy);
         }
     }
 
     /// All that was to be written to it is out.
-    pub fn written(&mut self, link: Link) {
-        if let Some(Role::Proxy(proxy)) = self.links.get(&link)
-            && let Some(berth) = self.berths.get_mut(proxy)
+    pub fn written(&mut self, connection: ConnectionId) {
+        if let Some(Role::Proxy(proxy)) = self.connections.get(&connection)
+            && let Some(stream) = self.streams.get_mut(proxy)
         {
-            berth.busy = false;
+            stream.busy = false;
             self.touched.insert(*proxy);
         }
     }
 
-    /// When [`Station::decide`] has to be called at the latest.
+    /// When [`Controller::decide`] has to be called at the latest.
     pub fn next_due(&self) -> Duration {
         let pilot = self.pilot.next_due();
-        self.door.next_due().map_or(pilot, |door| door.min(pilot))
+        self.admission.next_due().map_or(pilot, |admission| admission.min(pilot))
     }
 
     /// Pulls decisions until there is none, and gives out what is to be done.
     pub fn decide(&mut self, now: Duration) -> Vec<Effect> {
-        for link in self.door.overdue(now) {
-            self.reject(link, "no joining in time");
+        for connection in self.admission.overdue(now) {
+            self.reject(connection, "no joining in time");
         }
         while let Some(decision) = self.pilot.next_decision(now) {
             self.carry_out(decision);
@@ -291,12 +293,12 @@
                 let name = self.roster.name(server);
                 debug!(target: "lockcroft::decision", table, name, weight, "weigh");
                 self.published.weigh(table, server, weight);
-                self.touch(|berth| berth.on(table));
+                self.touch(|stream| stream.on(table));
             }
             Decision::Bind { table, classes, proxy } => {
                 debug!(target: "lockcroft::decision", table, proxy, "bind");
-                if let Some(berth) = self.berths.get_mut(&proxy) {
-                    berth.bind(table, classes);
+                if let Some(stream) = self.streams.get_mut(&proxy) {
+                    stream.bind(table, classes);
                     self.touched.insert(proxy);
                 }
             }
@@ -305,13 +307,13 @@
                 debug!(target: "lockcroft::decision", name, withdrawn, "withdraw");
                 self.published.withdraw(server, withdrawn);
                 let classes = self.places.classes.len();
-                self.berths.values_mut().for_each(|berth| berth.withdraw(server, withdrawn, classes));
+                self.streams.values_mut().for_each(|stream| stream.withdraw(server, withdrawn, classes));
                 self.touch(|_| true);
             }
             Decision::Admit { table, class, share, second_try } => {
                 debug!(target: "lockcroft::decision", table, class, share, second_try, "admit");
                 self.published.admit(table, class, share, second_try);
-                self.touch(|berth| berth.on(table));
+                self.touch(|stream| stream.on(table));
             }
             Decision::Note { about, text } => {
                 let about = about.map(|server| self.roster.name(server));
@@ -320,8 +322,8 @@
         }
     }
 
-    fn touch(&mut self, meant: impl Fn(&Berth) -> bool) {
-        let meant = self.berths.iter().filter(|(_, berth)| meant(berth));
+    fn touch(&mut self, meant: impl Fn(&ProxyStream) -> bool) {
+        let meant = self.streams.iter().filter(|(_, stream)| meant(stream));
         self.touched.extend(meant.map(|(proxy, _)| *proxy));
     }
 
@@ -329,13 +331,14 @@
     /// carries a mark: what goes to one proxy after the other leaves the channel in that order, so its answer
     /// tells that all of it has left.
     fn send(&mut self) {
-        let desk = Desk { published: &self.published, roster: &self.roster, classes: &self.places.classes };
+        let context =
+            Context { published: &self.published, roster: &self.roster, classes: &self.places.classes };
         let touched = std::mem::take(&mut self.touched);
         let due = touched.into_iter().filter_map(|proxy| {
-            let berth = self.berths.get_mut(&proxy).filter(|berth| !berth.busy)?;
-            let parts = berth.message(&desk);
-            berth.busy = !parts.is_empty();
-            berth.busy.then_some((proxy, parts))
+            let stream = self.streams.get_mut(&proxy).filter(|stream| !stream.busy)?;
+            let parts = stream.message(&context);
+            stream.busy = !parts.is_empty();
+            stream.busy.then_some((proxy, parts))
         });
         let mut due: Vec<(Proxy, Vec<Part>)> = due.collect();
         let marked = due.last_mut().and_then(|(proxy, parts)| Some((proxy, parts.last_mut()?)));
@@ -345,7 +348,7 @@
             let classes = self.places.classes.len();
             let lines = due.iter().flat_map(|(_, parts)| parts).map(|part| part.lines(classes)).sum();
             let mark = self.pilot.sent(due.len(), lines);
-            self.berths.get_mut(&proxy).into_iter().for_each(|berth| berth.marked(self.marks, mark));
+            self.streams.get_mut(&proxy).into_iter().for_each(|stream| stream.marked(self.marks, mark));
             self.marks = (self.marks + 1) % codec::MARKS;
         }
         for (proxy, parts) in due {
@@ -353,8 +356,8 @@
                 (self.sums.messages + 1, self.sums.parts + parts.len() as u64);
             let text = codec::message(parts);
             debug!(target: "lockcroft::order", proxy, bytes = text.len(), "sent");
-            if let Some(berth) = self.berths.get(&proxy) {
-                self.effects.push_back(Effect::Write { link: berth.link, text });
+            if let Some(stream) = self.streams.get(&proxy) {
+                self.effects.push_back(Effect::Write { connection: stream.connection, text });
             }
         }
     }
--- a/crates/platform/src/io/links.rs
+++ b/crates/platform/src/io/connections.rs
@@ -14,9 +14,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use crate::berth::Link;
-use crate::door::Knock;
-use crate::station::Effect;
+use crate::admission::Acceptance;
+use crate::controller::Effect;
+use crate::stream::ConnectionId;
 
 /// A buffer that a long message grew is given back beyond this.
 const KEEP: usize = 1 << 16;
@@ -30,7 +30,7 @@
 
 /// How the rest of the pilot reaches a connection's task.
 #[derive(Default)]
-pub struct Hand {
+pub struct Handle {
     due: RefCell<BytesMut>,
     ends: Cell<Option<End>>,
     wake: Notify,
@@ -43,7 +43,7 @@
     Now,
 }
 
-impl Hand {
+impl Handle {
     pub fn write(&self, text: &str) {
         let mut due = self.due.borrow_mut();
         due.extend_from_slice(text.as_bytes());
@@ -63,16 +63,16 @@
 pub async fn accept(listener: TcpListener, shared: Rc<Shared>) {
     loop {
         // Asked before a connection is taken, as one that is taken holds a descriptor.
-        let knock = shared.station.borrow().knock(shared.now());
-        match knock {
-            Knock::Enter => {}
-            Knock::Instead(guest) => {
-                shared.station.borrow_mut().ended(guest);
-                shared.carry_out(vec![Effect::Drop { link: guest }]);
+        let acceptance = shared.controller.borrow().acceptance(shared.now());
+        match acceptance {
+            Acceptance::Accept => {}
+            Acceptance::Evict(unjoined) => {
+                shared.controller.borrow_mut().ended(unjoined);
+                shared.carry_out(vec![Effect::Drop { connection: unjoined }]);
                 // Its task gives the descriptor back.
                 tokio::task::yield_now().await;
             }
-            Knock::Later(wait) => {
+            Acceptance::Wait(wait) => {
                 sleep(wait).await;
                 continue;
             }
@@ -81,32 +81,37 @@
             sleep(PAUSE).await;
             continue;
         };
-        let link = shared.last.get() + 1;
-        shared.last.set(link);
-        let hand = Rc::new(Hand::default());
-        shared.hands.borrow_mut().insert(link, hand.clone());
-        shared.station.borrow_mut().entered(shared.now(), link);
+        let connection = shared.last.get() + 1;
+        shared.last.set(connection);
+        let handle = Rc::new(Handle::default());
+        shared.handles.borrow_mut().insert(connection, handle.clone());
+        shared.controller.borrow_mut().accepted(shared.now(), connection);
         shared.news.notify_one();
         let shared = shared.clone();
         spawn_local(async move {
             // Whatever ended it, the other end has left.
-            let _ = tend(stream, link, &hand, &shared).await;
-            shared.hands.borrow_mut().remove(&link);
-            shared.station.borrow_mut().ended(link);
+            let _ = tend(stream, connection, &handle, &shared).await;
+            shared.handles.borrow_mut().remove(&connection);
+            shared.controller.borrow_mut().ended(connection);
             shared.act();
         });
     }
 }
 
-async fn tend(mut stream: TcpStream, link: Link, hand: &Hand, shared: &Rc<Shared>) -> io::Result<()> {
+async fn tend(
+    mut stream: TcpStream,
+    connection: ConnectionId,
+    handle: &Handle,
+    shared: &Rc<Shared>,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = stream.split();
     let (mut inbox, mut out) = (Lines::default(), BytesMut::new());
     loop {
         if out.is_empty() {
-            out = hand.due.take();
+            out = handle.due.take();
         }
-        match hand.ends.get() {
+        match handle.ends.get() {
             Some(End::Now) => return Ok(()),
             Some(End::Soon) => {
                 let _ = timeout(LAST_WORD, writer.write_all(&out)).await;
@@ -122,27 +127,27 @@
                 if read? == 0 {
                     return Ok(());
                 }
-                take_lines(&mut inbox, link, shared);
+                take_lines(&mut inbox, connection, shared);
             }
             wrote = writer.write(&out), if !out.is_empty() => {
                 out.advance(wrote?);
-                if out.is_empty() && hand.due.borrow().is_empty() {
-                    shared.station.borrow_mut().written(link);
+                if out.is_empty() && handle.due.borrow().is_empty() {
+                    shared.controller.borrow_mut().written(connection);
                     shared.news.notify_one();
                 }
             }
-            () = hand.wake.notified() => {}
+            () = handle.wake.notified() => {}
         }
     }
 }
 
 /// Hands whole lines on; the rest stays. A line without end is nothing that can be read.
-fn take_lines(inbox: &mut Lines, link: Link, shared: &Rc<Shared>) {
-    let mut station = shared.station.borrow_mut();
-    while inbox.next_line(|line| station.read(shared.now(), link, line)).is_some() {}
-    if inbox.waiting().len() > station.line_most(link) {
-        station.reject(link, "a message without end");
+fn take_lines(inbox: &mut Lines, connection: ConnectionId, shared: &Rc<Shared>) {
+    let mut controller = shared.controller.borrow_mut();
+    while inbox.next_line(|line| controller.read(shared.now(), connection, line)).is_some() {}
+    if inbox.waiting().len() > controller.line_most(connection) {
+        controller.reject(connection, "a message without end");
     }
-    drop(station);
+    drop(controller);
     shared.act();
 }
--- a/crates/platform/src/io/discovery.rs
+++ b/crates/platform/src/io/discovery.rs
@@ -50,7 +50,7 @@
         Err(_) => return "no connection in time".into(),
     };
     loop {
-        let held = shared.station.borrow().version().filter(|_| !*whole);
+        let held = shared.controller.borrow().version().filter(|_| !*whole);
         let (path, wait) = match held {
             Some(version) => {
                 (format!("/discovery/hosts?since={version}&timeout_ms={}", WATCH.as_millis()), WATCH + ANSWER)
@@ -67,7 +67,7 @@
             Ok(value) => value,
             Err(fault) => return fault.to_string(),
         };
-        let taken = shared.station.borrow_mut().listed(shared.now(), wall(), &value);
+        let taken = shared.controller.borrow_mut().listed(shared.now(), wall(), &value);
         if let Err(fault) = taken {
             *whole = true;
             return fault;
--- a/crates/platform/src/io/mod.rs
+++ b/crates/platform/src/io/mod.rs
@@ -1,7 +1,7 @@
 //! The sockets, signals and clock of a pilot on the platform.
 
+mod connections;
 mod discovery;
-mod links;
 mod probes;
 
 use std::cell::{Cell, RefCell};
@@ -18,11 +18,11 @@
 use tokio::time::{sleep, sleep_until};
 use tracing::{info, warn};
 
-use crate::berth::Link;
 use crate::config::Config;
-use crate::station::{Effect, Station};
+use crate::controller::{Controller, Effect};
+use crate::stream::ConnectionId;
 
-use self::links::Hand;
+use self::connections::Handle;
 
 /// The address of before a restart may take so long to be free.
 const BIND_MOST: Duration = Duration::from_secs(5);
@@ -35,14 +35,14 @@
 /// So often a line of sums is logged.
 const SUMS: Duration = Duration::from_secs(5);
 
-/// What all tasks of the pilot share; all run on one thread, and none holds the station across a wait.
+/// What all tasks of the pilot share; all run on one thread, and none holds the controller across a wait.
 struct Shared {
-    station: RefCell<Station>,
+    controller: RefCell<Controller>,
     start: Instant,
     /// There is news to be decided on.
     news: Notify,
-    hands: RefCell<BTreeMap<Link, Rc<Hand>>>,
-    last: Cell<Link>,
+    handles: RefCell<BTreeMap<ConnectionId, Rc<Handle>>>,
+    last: Cell<ConnectionId>,
 }
 
 impl Shared {
@@ -52,24 +52,30 @@
 
     /// Does what can't wait for the next decisions.
     fn act(self: &Rc<Self>) {
-        let effects = self.station.borrow_mut().effects();
+        let effects = self.controller.borrow_mut().effects();
         self.carry_out(effects);
         self.news.notify_one();
     }
 
     fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
-        let hands = self.hands.borrow();
+        let handles = self.handles.borrow();
         for effect in effects {
             match effect {
-                Effect::Write { link, text } => hands.get(&link).iter().for_each(|hand| hand.write(&text)),
-                Effect::End { link } => hands.get(&link).iter().for_each(|hand| hand.end(false)),
-                Effect::Drop { link } => hands.get(&link).iter().for_each(|hand| hand.end(true)),
+                Effect::Write { connection, text } => {
+                    handles.get(&connection).iter().for_each(|handle| handle.write(&text))
+                }
+                Effect::End { connection } => {
+                    handles.get(&connection).iter().for_each(|handle| handle.end(false))
+                }
+                Effect::Drop { connection } => {
+                    handles.get(&connection).iter().for_each(|handle| handle.end(true))
+                }
                 Effect::Probe { server, address } => {
                     let shared = self.clone();
                     spawn_local(async move {
-                        let asks_load = shared.station.borrow().asks_load;
+                        let asks_load = shared.controller.borrow().asks_load;
                         let (finding, took) = probes::probe(address, asks_load).await;
-                        shared.station.borrow_mut().probed(shared.now(), server, address, finding, took);
+                        shared.controller.borrow_mut().probed(shared.now(), server, address, finding, took);
                         shared.act();
                     });
                 }
@@ -101,28 +107,28 @@
 
 async fn run(path: &Path, config: Config) -> Result<(), String> {
     let shared = Rc::new(Shared {
-        station: RefCell::new(Station::new(&config)),
+        controller: RefCell::new(Controller::new(&config)),
         start: Instant::now(),
         news: Notify::new(),
-        hands: RefCell::default(),
+        handles: RefCell::default(),
         last: Cell::new(0),
     });
     if let Some(known) = &config.known
-        && let Err(fault) = shared.station.borrow_mut().listed(shared.now(), wall(), known)
+        && let Err(fault) = shared.controller.borrow_mut().listed(shared.now(), wall(), known)
     {
         warn!(target: "lockcroft::list", fault, "the list of before can't be used");
     }
     let mut ends = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut reloads = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let listener = bind(config.listen).await?;
-    spawn_local(links::accept(listener, shared.clone()));
+    spawn_local(connections::accept(listener, shared.clone()));
     let (at, follows) = watch::channel(config.discovery);
     spawn_local(discovery::follow(follows, shared.clone()));
     spawn_local(tell_sums(shared.clone()));
     info!(target: "lockcroft::platform", name = config.name, listen = %config.listen, "started");
     let gather = config.terms.time("tick_us").unwrap_or(GATHER);
     loop {
-        let due = shared.station.borrow().next_due();
+        let due = shared.controller.borrow().next_due();
         tokio::select! {
             _ = ends.recv() => break,
             _ = reloads.recv() => {
@@ -131,7 +137,7 @@
             () = shared.news.notified() => sleep(gather).await,
             () = sleep_until((shared.start + due).into()) => {}
         }
-        let effects = shared.station.borrow_mut().decide(shared.now());
+        let effects = shared.controller.borrow_mut().decide(shared.now());
         shared.carry_out(effects);
     }
     info!(target: "lockcroft::platform", "told to end; proxies keep their tables");
@@ -169,8 +175,8 @@
 async fn tell_sums(shared: Rc<Shared>) {
     loop {
         sleep(SUMS).await;
-        let sums = shared.station.borrow().sums;
-        let links = shared.hands.borrow().len();
-        info!(target: "lockcroft::sums", links, ?sums);
+        let sums = shared.controller.borrow().sums;
+        let connections = shared.handles.borrow().len();
+        info!(target: "lockcroft::sums", connections, ?sums);
     }
 }
--- a/crates/platform/src/berth.rs
+++ b/crates/platform/src/stream.rs
@@ -10,7 +10,7 @@
 use crate::roster::Roster;
 
 /// Names a connection; never given out twice.
-pub type Link = u64;
+pub type ConnectionId = u64;
 
 /// A table that the proxy is on.
 #[derive(Debug)]
@@ -21,14 +21,14 @@
 }
 
 #[derive(Debug)]
-pub struct Berth {
-    pub link: Link,
+pub struct ProxyStream {
+    pub connection: ConnectionId,
     /// It holds nothing that any pilot ordered.
     fresh: bool,
     laid: BTreeMap<TableNumber, Laid>,
     /// Servers that it is to shut out, and those that it was told on this stream to shut out.
-    shut: BTreeSet<Server>,
-    told: BTreeSet<Server>,
+    ejects: BTreeSet<Server>,
+    ejected: BTreeSet<Server>,
     /// Servers that it surely does not shut out any more.
     cleared: BTreeSet<Server>,
     /// A message is still being written.
@@ -40,18 +40,18 @@
 /// So many marks of one stream may wait for their answers; a proxy that answers none has its oldest forgotten.
 const MARKS_MOST: usize = 64;
 
-/// What an order needs beside the berth.
-pub struct Desk<'a> {
+/// What an order needs beside the stream.
+pub struct Context<'a> {
     pub published: &'a Published,
     pub roster: &'a Roster,
     pub classes: &'a [String],
 }
 
-impl Berth {
-    pub fn new(link: Link, fresh: bool) -> Self {
+impl ProxyStream {
+    pub fn new(connection: ConnectionId, fresh: bool) -> Self {
         let (laid, cleared) = (BTreeMap::new(), BTreeSet::new());
-        let (shut, told, marks) = (BTreeSet::new(), BTreeSet::new(), VecDeque::new());
-        Berth { link, fresh, laid, shut, told, cleared, busy: false, marks }
+        let (ejects, ejected, marks) = (BTreeSet::new(), BTreeSet::new(), VecDeque::new());
+        ProxyStream { connection, fresh, laid, ejects, ejected, cleared, busy: false, marks }
     }
 
     pub fn marked(&mut self, number: u64, mark: f64) {
@@ -80,35 +80,35 @@
     pub fn withdraw(&mut self, server: Server, withdrawn: bool, classes: usize) {
         let bound: usize = self.laid.values().map(|laid| laid.classes.len()).sum();
         if !withdrawn {
-            self.shut.remove(&server);
+            self.ejects.remove(&server);
         } else if bound < classes {
-            self.shut.insert(server);
+            self.ejects.insert(server);
         }
     }
 
     /// The message that brings the proxy from what was written to what is published; no part if there is
     /// nothing to say. What is returned counts as written.
-    pub fn message<'a>(&mut self, desk: &Desk<'a>) -> Vec<Part<'a>> {
-        let name = |server: &Server| desk.roster.name(*server);
+    pub fn message<'a>(&mut self, context: &Context<'a>) -> Vec<Part<'a>> {
+        let name = |server: &Server| context.roster.name(*server);
         let mut orders = Part {
-            eject: self.shut.difference(&self.told).map(name).collect(),
-            restore: self.told.difference(&self.shut).map(name).collect(),
+            eject: self.ejects.difference(&self.ejected).map(name).collect(),
+            restore: self.ejected.difference(&self.ejects).map(name).collect(),
             ..Part::default()
         };
-        self.cleared.extend(self.told.difference(&self.shut));
-        self.told.clone_from(&self.shut);
+        self.cleared.extend(self.ejected.difference(&self.ejects));
+        self.ejected.clone_from(&self.ejects);
         let (mut parts, empty) = (Vec::new(), Sheet::default());
         for (table, laid) in &mut self.laid {
-            let sheet = desk.published.tables.get(table).unwrap_or(&empty);
+            let sheet = context.published.tables.get(table).unwrap_or(&empty);
             let before = parts.len();
-            laid.changes(sheet, desk, &mut parts);
+            laid.changes(sheet, context, &mut parts);
             if parts.len() == before {
                 continue;
             }
             // A proxy keeps over a change of streams whom it was told to shut out, and by whom it does not
             // say: lines of servers that moved go with a word that lets them back.
-            for server in sheet.lines.keys().filter(|server| desk.roster.moved(**server)) {
-                if !self.fresh && !self.shut.contains(server) && self.cleared.insert(*server) {
+            for server in sheet.lines.keys().filter(|server| context.roster.moved(**server)) {
+                if !self.fresh && !self.ejects.contains(server) && self.cleared.insert(*server) {
                     orders.restore.push(name(server));
                 }
             }
@@ -127,11 +127,12 @@
 impl Laid {
     /// The parts that bring the table from what was written to this sheet. The first says the lines, and the
     /// level where one holds for all of its classes.
-    fn changes<'a>(&self, sheet: &Sheet, desk: &Desk<'a>, parts: &mut Vec<Part<'a>>) {
-        let all = || (self.classes.len() < desk.classes.len()).then(|| self.routes(&self.classes, desk));
+    fn changes<'a>(&self, sheet: &Sheet, context: &Context<'a>, parts: &mut Vec<Part<'a>>) {
+        let all =
+            || (self.classes.len() < context.classes.len()).then(|| self.routes(&self.classes, context));
         let empty = Sheet::default();
         let (full, old) = (self.written.is_none(), self.written.as_ref().unwrap_or(&empty));
-        let name = |server: &Server| desk.roster.name(*server);
+        let name = |server: &Server| context.roster.name(*server);
         let gone = old.lines.keys().filter(|server| !sheet.lines.contains_key(server));
         let new = sheet.lines.iter().filter(|(server, weight)| old.lines.get(server) != Some(weight));
         let endpoints = new.map(|(server, weight)| (name(server), *weight));
@@ -153,7 +154,7 @@
         }
         for ((share, second_try), classes) in levels {
             if !common {
-                parts.push(Part { routes: Some(self.routes(&classes, desk)), ..Part::default() });
+                parts.push(Part { routes: Some(self.routes(&classes, context)), ..Part::default() });
             }
             if let Some(part) = parts.last_mut() {
                 (part.admit, part.policy) = (Some(share), Some(u8::from(second_try)));
@@ -161,7 +162,7 @@
         }
     }
 
-    fn routes<'a>(&self, classes: &[Class], desk: &Desk<'a>) -> Vec<&'a str> {
-        classes.iter().map(|class| desk.classes[*class].as_str()).collect()
+    fn routes<'a>(&self, classes: &[Class], context: &Context<'a>) -> Vec<&'a str> {
+        classes.iter().map(|class| context.classes[*class].as_str()).collect()
     }
 }
--- a/crates/platform/tests/station/channel.rs
+++ b/crates/platform/tests/controller/channel.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lockcroft::Finding;
-use lockcroft_platform::{Config, Effect, Link, Station};
+use lockcroft_platform::{Config, ConnectionId, Controller, Effect};
 use serde_json::{Value, json};
 
 use crate::stage::{Stage, WALL, config, entry, list};
@@ -18,13 +18,13 @@
 struct Channel {
     pace: f64,
     /// Lines of a message that are still to be sent, and whose mark it carries.
-    queue: VecDeque<(f64, Option<(Link, u64)>)>,
-    answers: VecDeque<(Duration, Link, u64)>,
+    queue: VecDeque<(f64, Option<(ConnectionId, u64)>)>,
+    answers: VecDeque<(Duration, ConnectionId, u64)>,
     most: usize,
 }
 
 impl Channel {
-    fn enter(&mut self, link: Link, text: &str) {
+    fn accept(&mut self, connection: ConnectionId, text: &str) {
         let parts = text.lines().map(|line| serde_json::from_str::<Value>(line).expect("a message"));
         let count = |part: &Value, name: &str| part[name].as_array().map_or(0, Vec::len);
         let (mut lines, mut mark) = (HEAD, None);
@@ -32,7 +32,7 @@
             lines += count(&part, "endpoints") + count(&part, "eject") + count(&part, "restore");
             lines += usize::from(part["full"] == true);
             lines += if part["admit"].is_number() { count(&part, "routes").max(1) } else { 0 };
-            mark = part["nonce_out"].as_u64().map(|number| (link, number));
+            mark = part["nonce_out"].as_u64().map(|number| (connection, number));
             lines += usize::from(mark.is_some());
         }
         self.queue.push_back((lines as f64, mark));
@@ -48,7 +48,7 @@
             if *lines > 0.0 {
                 break;
             }
-            self.answers.extend(mark.map(|(link, number)| (now + LATE, link, number)));
+            self.answers.extend(mark.map(|(connection, number)| (now + LATE, connection, number)));
             self.queue.pop_front();
         }
     }
@@ -66,12 +66,12 @@
     ] {
         settings["settings"]["specifics"][name] = json!(value);
     }
-    let mut station = Station::new(&Config::read(&settings.to_string()).expect("sound"));
+    let mut controller = Controller::new(&Config::read(&settings.to_string()).expect("sound"));
     let names: Vec<String> = (0..200).map(|at| format!("s-{at}")).collect();
     let since = |at: usize| if at < 100 { 0 } else { WALL - 1000 };
     let entries = names.iter().enumerate().map(|(at, name)| entry(name, "up", since(at)));
     let whole = list(2, true, &entries.collect::<Vec<Value>>());
-    station.listed(Duration::ZERO, WALL, &whole).expect("sound");
+    controller.listed(Duration::ZERO, WALL, &whole).expect("sound");
     let mut channel = Channel { pace, queue: VecDeque::new(), answers: VecDeque::new(), most: 0 };
     let step = Duration::from_millis(10);
     let (mut now, mut joined, mut bound) = (Duration::ZERO, 0, vec![None; proxies]);
@@ -79,27 +79,27 @@
         now += step;
         channel.run(now, step);
         while channel.answers.front().is_some_and(|(at, ..)| *at <= now) {
-            let (_, link, number) = channel.answers.pop_front().expect("one");
-            let done = json!({"t": "done", "node": link, "nonce": number, "latency": 300.0});
-            station.read(now, link, done.to_string().as_bytes());
+            let (_, connection, number) = channel.answers.pop_front().expect("one");
+            let done = json!({"t": "done", "node": connection, "nonce": number, "latency": 300.0});
+            controller.read(now, connection, done.to_string().as_bytes());
         }
         while joined < proxies && Duration::from_millis(6000 + joined as u64) <= now {
             let line = json!({"t": "attach", "node": joined, "locality": "a", "w": 5.0, "cold": false});
-            station.entered(now, joined as Link);
-            station.read(now, joined as Link, line.to_string().as_bytes());
+            controller.accepted(now, joined as ConnectionId);
+            controller.read(now, joined as ConnectionId, line.to_string().as_bytes());
             joined += 1;
         }
-        for effect in station.decide(now) {
+        for effect in controller.decide(now) {
             match effect {
-                Effect::Write { link, text } => {
-                    channel.enter(link, &text);
-                    station.written(link);
+                Effect::Write { connection, text } => {
+                    channel.accept(connection, &text);
+                    controller.written(connection);
                     if text.contains("\"full\":true") {
-                        bound[link as usize].get_or_insert(now);
+                        bound[connection as usize].get_or_insert(now);
                     }
                 }
                 Effect::Probe { server, address } => {
-                    station.probed(now, server, address, Finding::Passed(Some(0.4)), Duration::ZERO);
+                    controller.probed(now, server, address, Finding::Passed(Some(0.4)), Duration::ZERO);
                 }
                 Effect::End { .. } | Effect::Drop { .. } => panic!("nobody is to go"),
             }
@@ -135,12 +135,12 @@
     assert!(trace.contains("\"nonce_out\":0"), "{trace}");
     let done = |node: usize, nonce: u64| json!({"t": "done", "node": node, "nonce": nonce, "latency": 3.0});
     // The mark went with the last message, so to the second proxy.
-    for (link, node, nonce) in [(1, 3, 0), (2, 4, 7), (1, 4, 0)] {
-        stage.say(link, &done(node, nonce).to_string());
+    for (connection, node, nonce) in [(1, 3, 0), (2, 4, 7), (1, 4, 0)] {
+        stage.say(connection, &done(node, nonce).to_string());
     }
-    assert_eq!(stage.station.sums.spoilt, 3);
+    assert_eq!(stage.controller.sums.spoilt, 3);
     stage.say(2, &done(4, 0).to_string());
-    assert_eq!(stage.station.sums.spoilt, 3);
+    assert_eq!(stage.controller.sums.spoilt, 3);
     stage.say(2, &done(4, 0).to_string());
-    assert_eq!(stage.station.sums.spoilt, 4, "a mark is answered once");
+    assert_eq!(stage.controller.sums.spoilt, 4, "a mark is answered once");
 }
--- a/crates/platform/tests/station/lists.rs
+++ b/crates/platform/tests/controller/lists.rs
@@ -27,7 +27,7 @@
     stage.list(&json!({"index": "9"}));
     stage.list(&json!([]));
     stage.join(1, 3, true);
-    assert_eq!(stage.station.version(), Some(3));
+    assert_eq!(stage.controller.version(), Some(3));
     expect![[r#"
         0.0 refused: a whole list without a usable entry, 0 faults
         0.0 refused: changes to version 2 on top of Some(3)
--- a/crates/platform/tests/station/main.rs
+++ b/crates/platform/tests/controller/main.rs
@@ -1,9 +1,9 @@
 //! What goes out on streams for what comes in, in made-up time and without a socket.
 
 mod channel;
-mod guests;
 mod lists;
 mod loads;
 mod orders;
 mod pieces;
 mod stage;
+mod unjoined;
--- a/crates/platform/tests/station/pieces.rs
+++ b/crates/platform/tests/controller/pieces.rs
@@ -53,12 +53,12 @@
     fn no_message_takes_the_pilot_along(said in prop::collection::vec((1..6_u64, any_line()), 0..60)) {
         let mut stage = Stage::new();
         stage.join(9, 7, true);
-        for (at, (link, line)) in said.iter().enumerate() {
+        for (at, (connection, line)) in said.iter().enumerate() {
             if at % 7 == 0 {
-                stage.station.ended(*link);
-                stage.enter(*link);
+                stage.controller.ended(*connection);
+                stage.accept(*connection);
             }
-            stage.station.read(stage.now, *link, line);
+            stage.controller.read(stage.now, *connection, line);
         }
         let trace = stage.run_to(5.5);
         prop_assert!(trace.contains("9 < {\"t\":\"assign\",\"full\":true"), "{}", trace);
--- a/crates/platform/tests/station/stage.rs
+++ b/crates/platform/tests/controller/stage.rs
@@ -1,10 +1,10 @@
-//! A small stage: a station with two classes and four servers in made-up time, and a trace of what it does.
+//! A small stage: a controller with two classes and four servers in made-up time, and a trace of what it does.
 
 use std::fmt::Write;
 use std::time::Duration;
 
 use lockcroft::Finding;
-use lockcroft_platform::{Config, Effect, Link, Station};
+use lockcroft_platform::{Config, ConnectionId, Controller, Effect};
 use serde_json::{Value, json};
 
 /// Unix milliseconds at the start of the stage.
@@ -39,11 +39,11 @@
 }
 
 pub struct Stage {
-    pub station: Station,
+    pub controller: Controller,
     pub now: Duration,
     pub trace: String,
     /// Streams that take nothing: their messages are never out.
-    pub stalled: Vec<Link>,
+    pub stalled: Vec<ConnectionId>,
     /// Probes end as if they had gone to another address.
     pub former: bool,
     /// The server whose probes are refused.
@@ -62,7 +62,7 @@
     pub fn bare() -> Self {
         let config = Config::read(&config().to_string()).expect("sound");
         Stage {
-            station: Station::new(&config),
+            controller: Controller::new(&config),
             now: Duration::ZERO,
             trace: String::new(),
             stalled: Vec::new(),
@@ -73,33 +73,33 @@
 
     pub fn list(&mut self, value: &Value) {
         let wall = WALL + self.now.as_millis() as u64;
-        if let Err(fault) = self.station.listed(self.now, wall, value) {
+        if let Err(fault) = self.controller.listed(self.now, wall, value) {
             let _ = writeln!(self.trace, "{:.1} refused: {fault}", self.now.as_secs_f64());
         }
     }
 
-    pub fn enter(&mut self, link: Link) -> &mut Self {
-        self.station.entered(self.now, link);
+    pub fn accept(&mut self, connection: ConnectionId) -> &mut Self {
+        self.controller.accepted(self.now, connection);
         self
     }
 
-    pub fn say(&mut self, link: Link, line: &str) -> &mut Self {
-        self.station.read(self.now, link, line.as_bytes());
-        let effects = self.station.effects();
+    pub fn say(&mut self, connection: ConnectionId, line: &str) -> &mut Self {
+        self.controller.read(self.now, connection, line.as_bytes());
+        let effects = self.controller.effects();
         self.take(effects);
         self
     }
 
-    pub fn join(&mut self, link: Link, proxy: usize, fresh: bool) -> &mut Self {
+    pub fn join(&mut self, connection: ConnectionId, proxy: usize, fresh: bool) -> &mut Self {
         let line = json!({"t": "attach", "node": proxy, "locality": "a", "w": 5.0, "cold": fresh});
-        self.enter(link).say(link, &line.to_string())
+        self.accept(connection).say(connection, &line.to_string())
     }
 
     /// Runs to this time in steps of 50 ms and gives out what happened since the last call.
     pub fn run_to(&mut self, seconds: f64) -> String {
         while self.now.as_secs_f64() < seconds {
             self.now += Duration::from_millis(50);
-            let effects = self.station.decide(self.now);
+            let effects = self.controller.decide(self.now);
             self.take(effects);
         }
         std::mem::take(&mut self.trace)
@@ -109,23 +109,25 @@
         let at = self.now.as_secs_f64();
         for effect in effects {
             match effect {
-                Effect::Write { link, text } => {
-                    let _ = text.lines().try_for_each(|line| writeln!(self.trace, "{at:.1} {link} < {line}"));
-                    if !self.stalled.contains(&link) {
-                        self.station.written(link);
+                Effect::Write { connection, text } => {
+                    let _ = text
+                        .lines()
+                        .try_for_each(|line| writeln!(self.trace, "{at:.1} {connection} < {line}"));
+                    if !self.stalled.contains(&connection) {
+                        self.controller.written(connection);
                     }
                 }
-                Effect::End { link } => {
-                    let _ = writeln!(self.trace, "{at:.1} {link} ends");
+                Effect::End { connection } => {
+                    let _ = writeln!(self.trace, "{at:.1} {connection} ends");
                 }
-                Effect::Drop { link } => {
-                    let _ = writeln!(self.trace, "{at:.1} {link} is dropped");
+                Effect::Drop { connection } => {
+                    let _ = writeln!(self.trace, "{at:.1} {connection} is dropped");
                 }
                 Effect::Probe { server, address } => {
                     let refused = self.refuses == Some(server);
                     let address = if self.former { ([127, 0, 0, 8], 8).into() } else { address };
                     let finding = if refused { Finding::Refused } else { Finding::Passed(Some(0.5)) };
-                    self.station.probed(self.now, server, address, finding, Duration::ZERO);
+                    self.controller.probed(self.now, server, address, finding, Duration::ZERO);
                 }
             }
         }
--- a/crates/platform/tests/station/guests.rs
+++ b/crates/platform/tests/controller/unjoined.rs
@@ -7,7 +7,7 @@
 #[test]
 fn spoilt_messages_cost_themselves_and_unreadable_ones_the_connection() {
     let mut stage = Stage::new();
-    stage.join(1, 3, true).enter(2).say(2, r#"{"t":"telemetry","locality":"a"}"#);
+    stage.join(1, 3, true).accept(2).say(2, r#"{"t":"telemetry","locality":"a"}"#);
     let good = r#"{"t":"upstream_stats","locality":"a","endpoint":"s-a","total":9,"errors":1,"rtt":41.7,"interval":1000.0}"#;
     for (from, to) in [
         ("\"total\":9", "\"total\":-9"),
@@ -24,7 +24,7 @@
     ] {
         stage.say(2, &good.replace(from, to));
     }
-    assert_eq!((stage.station.sums.spoilt, stage.station.sums.reports), (11, 0));
+    assert_eq!((stage.controller.sums.spoilt, stage.controller.sums.reports), (11, 0));
     stage.say(2, good);
     for line in [
         r#"{"t":"done","node":3,"nonce":"x","latency":1}"#,
@@ -35,7 +35,7 @@
         stage.say(1, line);
     }
     stage.say(1, r#"{"t":"client_stats","node":3,"route":"look","total":9,"errors":0,"interval":1000.0}"#);
-    assert_eq!((stage.station.sums.spoilt, stage.station.sums.reports), (15, 2));
+    assert_eq!((stage.controller.sums.spoilt, stage.controller.sums.reports), (15, 2));
     expect![[""]].assert_eq(&stage.trace);
     stage.say(1, "{\"t\":\"done\"").say(2, "GET / HTTP/1.1");
     expect![[r#"
@@ -50,7 +50,7 @@
 #[test]
 fn strangers_are_told_no() {
     let mut stage = Stage::new();
-    for (link, line) in (1..).zip([
+    for (connection, line) in (1..).zip([
         "GET /discovery/hosts HTTP/1.1",
         "\u{1}\u{2}",
         "[]",
@@ -61,7 +61,7 @@
         r#"{"t":"client_stats","node":3,"route":"look","total":9,"errors":0,"interval":1000.0}"#,
         r#"{"t":"assign","full":true}"#,
     ]) {
-        stage.enter(link).say(link, line);
+        stage.accept(connection).say(connection, line);
     }
     expect![[r#"
         0.0 1 < {"reason":"expected value at line 1 column 1","t":"reject"}
@@ -87,14 +87,14 @@
 }
 
 #[test]
-fn guests_go_after_a_while_and_those_who_joined_stay() {
+fn those_who_have_not_joined_go_after_a_while_and_proxies_stay() {
     let mut stage = Stage::new();
-    stage.enter(1).say(1, r#"{"t":"hb"}"#).join(2, 3, true);
+    stage.accept(1).say(1, r#"{"t":"hb"}"#).join(2, 3, true);
     expect![[r#"
         0.0 1 < {"t":"hb_ok"}
     "#]]
     .assert_eq(&stage.run_to(1.0));
-    stage.enter(3);
+    stage.accept(3);
     expect![[r#"
         1.5 1 < {"reason":"no joining in time","t":"reject"}
         1.5 1 ends
@@ -108,26 +108,26 @@
 }
 
 #[test]
-fn where_descriptors_run_short_the_oldest_guest_makes_room() {
+fn where_descriptors_run_short_the_oldest_that_has_not_joined_makes_room() {
     let mut stage = Stage::new();
     stage.join(1, 3, true);
     // 60 descriptors, 32 kept and one for each of four servers: room for 24.
-    (2..25).for_each(|link| {
-        stage.enter(link);
+    (2..25).for_each(|connection| {
+        stage.accept(connection);
     });
-    let knock = |stage: &Stage| format!("{:?}", stage.station.knock(stage.now));
-    assert_eq!(knock(&stage), "Later(300ms)");
+    let acceptance = |stage: &Stage| format!("{:?}", stage.controller.acceptance(stage.now));
+    assert_eq!(acceptance(&stage), "Wait(300ms)");
     stage.run_to(0.3);
-    assert_eq!(knock(&stage), "Instead(2)");
-    stage.station.ended(2);
-    assert_eq!(knock(&stage), "Enter");
+    assert_eq!(acceptance(&stage), "Evict(2)");
+    stage.controller.ended(2);
+    assert_eq!(acceptance(&stage), "Accept");
 }
 
 #[test]
 fn collectors_that_come_again_and_again_do_not_add_up() {
     let mut stage = Stage::new();
-    (1..=4).for_each(|link| {
-        stage.enter(link).say(link, r#"{"t":"telemetry","locality":"a"}"#);
+    (1..=4).for_each(|connection| {
+        stage.accept(connection).say(connection, r#"{"t":"telemetry","locality":"a"}"#);
     });
     expect![[r#"
         0.0 1 is dropped
