Pay what is owed when connections, the pilot or discovery end, with tests that force each instant

Tests: crates/cli/tests/daemon/crossings.rs (16, on the program as a process; the pilot is stopped or the other end held), tests/controller (admission, lists, long tables).

--- a/crates/cli/tests/daemon/main.rs
+++ b/crates/cli/tests/daemon/main.rs
@@ -1,5 +1,6 @@
 //! The program as a process: files, sockets, signals, and short days with one fault each.
 
+mod crossings;
 mod days;
 mod files;
 mod help;
--- a/crates/cli/tests/daemon/stand.rs
+++ b/crates/cli/tests/daemon/stand.rs
@@ -9,6 +9,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 use crate::help::PROGRAM;
 
@@ -146,12 +147,21 @@
 
 impl House {
     pub fn start(discovery: SocketAddr, sockets: usize) -> Self {
-        let free = TcpListener::bind("127.0.0.1:0").expect("bound");
-        let listen = free.local_addr().expect("bound");
-        drop(free);
+        House::with(free(), discovery, sockets, |_| {})
+    }
+
+    /// With changes to the configuration.
+    pub fn with(
+        listen: SocketAddr,
+        discovery: SocketAddr,
+        sockets: usize,
+        change: impl Fn(&mut Value),
+    ) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let path = folder.path().join("config.json");
-        std::fs::write(&path, config(listen, discovery, sockets)).expect("written");
+        let mut text: Value = serde_json::from_str(&config(listen, discovery, sockets)).expect("sound");
+        change(&mut text);
+        std::fs::write(&path, text.to_string()).expect("written");
         let pilot = Command::new(PROGRAM)
             .arg("platform")
             .env("LB_CONFIG", &path)
@@ -167,8 +177,7 @@
         let end = Instant::now() + SOON;
         loop {
             if let Ok(stream) = TcpStream::connect(self.listen) {
-                stream.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
-                return Proxy { stream, inbox: Vec::new() };
+                return Proxy::new(stream);
             }
             assert!(Instant::now() < end, "nobody listens");
             thread::sleep(Duration::from_millis(20));
@@ -177,11 +186,11 @@
 
     pub fn join(&self, proxy: usize, pieces: bool) -> Proxy {
         let mut stream = self.connect();
-        let line = json!({"t": "attach", "node": proxy, "locality": "a", "w": 5.0, "cold": true}).to_string();
+        let line = attach(proxy);
         let (one, other) = line.split_at(if pieces { 9 } else { 0 });
         stream.say(one);
         thread::sleep(Duration::from_millis(if pieces { 60 } else { 0 }));
-        stream.say(&format!("{other}\n"));
+        stream.say(other);
         stream
     }
 
@@ -190,6 +199,44 @@
         kill_process(pid, signal).expect("it runs");
     }
 
+    /// Waits until neither SIGTERM nor SIGHUP would end it by default: the kernel tells which it catches.
+    pub fn heeds_signals(&self) {
+        let end = Instant::now() + SOON;
+        // Signal N is bit N - 1.
+        let both =
+            [Signal::TERM, Signal::HUP].map(|signal| 1_u64 << (signal.as_raw() - 1)).iter().sum::<u64>();
+        loop {
+            let status =
+                std::fs::read_to_string(format!("/proc/{}/status", self.pilot.id())).expect("it runs");
+            let caught =
+                status.lines().find_map(|line| line.strip_prefix("SigCgt:")).expect("on this kernel");
+            if u64::from_str_radix(caught.trim(), 16).expect("a mask") & both == both {
+                return;
+            }
+            assert!(Instant::now() < end, "signals are not heeded in time");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Stops it, or lets it go on: what comes meanwhile crosses with what is due.
+    pub fn hold(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Names another discovery in its configuration, and says so.
+    pub fn move_discovery(&self, to: SocketAddr) {
+        let path = self.folder.path().join("config.json");
+        let text = std::fs::read_to_string(&path).expect("there");
+        let mut config: Value = serde_json::from_str(&text).expect("sound");
+        config["discovery"] = json!(to.to_string());
+        std::fs::write(&path, config.to_string()).expect("written");
+        self.signal(Signal::HUP);
+    }
+
     pub fn ended(&mut self, within: Duration) -> Option<i32> {
         let end = Instant::now() + within;
         loop {
@@ -215,6 +262,11 @@
 }
 
 impl Proxy {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+        Proxy { stream, inbox: Vec::new() }
+    }
+
     pub fn say(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("taken");
     }
@@ -230,7 +282,7 @@
                     return Some(line);
                 }
             }
-            assert!(Instant::now() < end, "no line with {words:?} in time");
+            assert!(Instant::now() < end, "no line with {words:?} in time; {} bytes wait", self.inbox.len());
             let mut room = [0; 4096];
             match self.stream.read(&mut room) {
                 Ok(0) => return None,
@@ -242,12 +294,39 @@
         }
     }
 
+    /// All that it reads until the other end closes; what was reset in between is an error.
+    pub fn rest(&mut self) -> std::io::Result<String> {
+        self.stream.set_read_timeout(Some(SOON))?;
+        let mut all = std::mem::take(&mut self.inbox);
+        self.stream.read_to_end(&mut all)?;
+        Ok(String::from_utf8_lossy(&all).into_owned())
+    }
+
+    /// Says no more, and still listens.
+    pub fn closes_half(&self) {
+        self.stream.shutdown(std::net::Shutdown::Write).expect("open");
+    }
+
+    /// Ends without a word: the other end sees a reset.
+    pub fn resets(self) {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("set");
+    }
+
     /// Whether the other end closes in time, whatever it says before.
     pub fn closes(&mut self) -> bool {
         self.until(&["no line has this"]).is_none()
     }
 }
 
+/// An address that is free by now.
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("bound")
+}
+
+pub fn attach(proxy: usize) -> String {
+    json!({"t": "attach", "node": proxy, "locality": "a", "w": 5.0, "cold": true}).to_string() + "\n"
+}
+
 pub fn config(listen: SocketAddr, discovery: SocketAddr, sockets: usize) -> String {
     json!({
         "name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
--- a/crates/platform/src/admission.rs
+++ b/crates/platform/src/admission.rs
@@ -1,7 +1,8 @@
 //! Admission of connections. Anybody can connect and not join, by hundreds, and say nothing. Those are let go
-//! after a while, and sooner where descriptors run short, so that proxies always find room.
+//! after a while, and sooner where descriptors run short, so that proxies always find room. Whoever is let go
+//! gets a last call first: a joining that came in time and was not read yet still counts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::stream::ConnectionId;
@@ -9,6 +10,8 @@
 /// A connection that has not joined is let go after so long; where room is short, the oldest after so long.
 const STAY: Duration = Duration::from_millis(1500);
 const STAY_SHORT: Duration = Duration::from_millis(300);
+/// While one that was let go still holds its descriptor, the next is looked at after so long.
+const LEAVING: Duration = Duration::from_millis(2);
 /// So many collectors of one zone may be connected: one that comes again does not wait for its old
 /// connection to be seen to end.
 pub const COLLECTORS: usize = 3;
@@ -19,11 +22,13 @@
 pub struct Admission {
     sockets: usize,
     unjoined: BTreeMap<ConnectionId, Duration>,
-    /// Proxies and collectors.
-    joined: usize,
+    /// Had their last call, and still hold a descriptor.
+    leaving: BTreeSet<ConnectionId>,
+    /// All that hold a descriptor.
+    open: usize,
 }
 
-/// What is to be done about someone who knocks.
+/// What is to be done about someone who connects.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Acceptance {
     Accept,
@@ -35,16 +40,21 @@
 
 impl Admission {
     pub fn new(sockets: usize) -> Self {
-        Admission { sockets, unjoined: BTreeMap::new(), joined: 0 }
+        Admission { sockets, unjoined: BTreeMap::new(), leaving: BTreeSet::new(), open: 0 }
     }
 
-    /// Asked before a connection is taken, with the number of servers that may be probed at once.
+    /// Whether there is room for one more, with so many servers that may be probed at once.
+    pub fn has_room(&self, probes: usize) -> bool {
+        self.open < self.sockets.saturating_sub(KEPT + probes).max(1)
+    }
+
+    /// Asked before a connection is taken.
     pub fn acceptance(&self, now: Duration, probes: usize) -> Acceptance {
-        let room = self.sockets.saturating_sub(KEPT + probes).max(1);
-        if self.joined + self.unjoined.len() < room {
+        if self.has_room(probes) {
             return Acceptance::Accept;
         }
         match self.unjoined.first_key_value() {
+            _ if !self.leaving.is_empty() => Acceptance::Wait(LEAVING),
             Some((connection, since)) if *since + STAY_SHORT <= now => Acceptance::Evict(*connection),
             Some((_, since)) => Acceptance::Wait(*since + STAY_SHORT - now),
             // Full of those who joined: rather a descriptor too many than a proxy without a pilot.
@@ -53,17 +63,25 @@
     }
 
     pub fn accepted(&mut self, now: Duration, connection: ConnectionId) {
+        self.open += 1;
         self.unjoined.insert(connection, now);
     }
 
     pub fn joined(&mut self, connection: ConnectionId) {
-        self.joined += usize::from(self.unjoined.remove(&connection).is_some());
+        self.unjoined.remove(&connection);
+        self.leaving.remove(&connection);
     }
 
-    pub fn ended(&mut self, connection: ConnectionId) {
-        if self.unjoined.remove(&connection).is_none() {
-            self.joined = self.joined.saturating_sub(1);
-        }
+    /// It is to go, once what it may have said until now was read.
+    pub fn last_call(&mut self, connection: ConnectionId) {
+        self.unjoined.remove(&connection);
+        self.leaving.insert(connection);
+    }
+
+    /// It ended, and its descriptor is free again.
+    pub fn closed(&mut self, connection: ConnectionId) {
+        self.open = self.open.saturating_sub(1);
+        self.joined(connection);
     }
 
     /// Those that have not joined and whose time is over.
--- a/crates/platform/src/codec.rs
+++ b/crates/platform/src/codec.rs
@@ -242,8 +242,38 @@
     !*flag
 }
 
+/// Bytes of the endpoints in one part, at most: a line holds [`LINE_MOST`], with all else in it.
+const PART_MOST: usize = LINE_MOST / 2;
+/// Bytes that an endpoint takes beside its name.
+const BESIDE: usize = 32;
+
+/// A part whose endpoints are too many for a line goes as several.
+fn pieces(mut part: Part) -> Vec<Part> {
+    let (mut pieces, mut bytes) = (vec![Vec::new()], 0);
+    for endpoint in std::mem::take(&mut part.endpoints) {
+        let more = endpoint.0.len() + BESIDE;
+        if bytes + more > PART_MOST {
+            pieces.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += more;
+        pieces.last_mut().into_iter().for_each(|piece| piece.push(endpoint));
+    }
+    let (routes, mark) = (part.routes.clone(), part.nonce_out.take());
+    let mut first = Some(part);
+    let piece = |endpoints| Part {
+        endpoints,
+        ..first.take().unwrap_or(Part { routes: routes.clone(), ..Part::default() })
+    };
+    let mut pieces: Vec<Part> = pieces.into_iter().map(piece).collect();
+    // The mark stands behind all of it.
+    pieces.last_mut().into_iter().for_each(|last| last.nonce_out = mark);
+    pieces
+}
+
 /// The parts of one message, as they go on a stream.
-pub fn message(mut parts: Vec<Part>) -> String {
+pub fn message(parts: Vec<Part>) -> String {
+    let mut parts: Vec<Part> = parts.into_iter().flat_map(pieces).collect();
     let last = parts.len().saturating_sub(1);
     parts[..last].iter_mut().for_each(|part| part.continued = true);
     parts.iter().map(line).collect()
--- a/crates/platform/src/controller.rs
+++ b/crates/platform/src/controller.rs
@@ -29,6 +29,10 @@
     End {
         connection: ConnectionId,
     },
+    /// Read what has come on it, then say [`Controller::dismiss`].
+    LastCall {
+        connection: ConnectionId,
+    },
     /// End the connection at once.
     Drop {
         connection: ConnectionId,
@@ -142,6 +146,24 @@
         self.admission.acceptance(now, self.roster.len())
     }
 
+    /// Whether descriptors are left for more connections.
+    pub fn has_room(&self) -> bool {
+        self.admission.has_room(self.roster.len())
+    }
+
+    /// It has to go if it has not joined by what it said until now.
+    pub fn last_call(&mut self, connection: ConnectionId) -> Effect {
+        self.admission.last_call(connection);
+        Effect::LastCall { connection }
+    }
+
+    /// What it said until its last call was read.
+    pub fn dismiss(&mut self, connection: ConnectionId) {
+        if self.connections.get(&connection) == Some(&Role::Unjoined) {
+            self.reject(connection, "no joining in time");
+        }
+    }
+
     pub fn accepted(&mut self, now: Duration, connection: ConnectionId) {
         self.admission.accepted(now, connection);
         self.connections.insert(connection, Role::Unjoined);
@@ -239,10 +261,18 @@
         self.effects.push_back(Effect::Drop { connection });
     }
 
-    /// The connection ended, by whomever.
+    /// Its descriptor is free again.
+    pub fn closed(&mut self, connection: ConnectionId) {
+        self.ended(connection);
+        self.admission.closed(connection);
+    }
+
+    /// The other end has left, by whomever it was ended; its descriptor may still be held.
     pub fn ended(&mut self, connection: ConnectionId) {
         let Some(role) = self.connections.remove(&connection) else { return };
-        self.admission.ended(connection);
+        if role == Role::Unjoined {
+            self.admission.last_call(connection);
+        }
         if let Role::Proxy(proxy) = role {
             info!(target: "lockcroft::input", connection, proxy, "left");
             self.streams.remove(&proxy);
@@ -269,7 +299,8 @@
     /// Pulls decisions until there is none, and gives out what is to be done.
     pub fn decide(&mut self, now: Duration) -> Vec<Effect> {
         for connection in self.admission.overdue(now) {
-            self.reject(connection, "no joining in time");
+            let effect = self.last_call(connection);
+            self.effects.push_back(effect);
         }
         while let Some(decision) = self.pilot.next_decision(now) {
             self.carry_out(decision);
--- a/crates/platform/src/io/discovery.rs
+++ b/crates/platform/src/io/discovery.rs
@@ -6,7 +6,8 @@
 
 use lockcroft_calls::Line;
 use serde_json::Value;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 use tracing::warn;
 
@@ -22,28 +23,43 @@
 /// The longest list that is read.
 const LIST_MOST: usize = 8 << 20;
 
+/// An address that discovery has left is listened to for as long as it may still speak, or until the new one has
+/// given its list: what the old one has written by then counts as told.
+const FORMER: Duration = Duration::from_millis(1500);
+
 /// Follows discovery at the address that is last told, for as long as the pilot runs.
 pub async fn follow(mut at: watch::Receiver<SocketAddr>, shared: Rc<Shared>) {
+    let mut former: Vec<JoinHandle<()>> = Vec::new();
     loop {
         let address = *at.borrow_and_update();
-        let mut whole = true;
-        loop {
-            tokio::select! {
-                fault = talk(address, &mut whole, &shared) => {
-                    warn!(target: "lockcroft::list", %address, fault, "discovery");
-                    sleep(PAUSE).await;
-                }
-                changed = at.changed() => match changed {
-                    Ok(()) => break,
-                    Err(_) => return,
-                },
+        let heard = Rc::new(Notify::new());
+        let current = spawn_local(keep_talking(address, heard.clone(), shared.clone()));
+        let changed = tokio::select! {
+            changed = at.changed() => changed,
+            _ = timeout(FORMER, heard.notified()) => {
+                former.drain(..).for_each(|former| former.abort());
+                at.changed().await
             }
+        };
+        former.push(current);
+        if changed.is_err() {
+            former.drain(..).for_each(|former| former.abort());
+            return;
         }
     }
 }
 
+async fn keep_talking(address: SocketAddr, heard: Rc<Notify>, shared: Rc<Shared>) {
+    let mut whole = true;
+    loop {
+        let fault = talk(address, &mut whole, &heard, &shared).await;
+        warn!(target: "lockcroft::list", %address, fault, "discovery");
+        sleep(PAUSE).await;
+    }
+}
+
 /// Calls on one connection until one fails; says why.
-async fn talk(address: SocketAddr, whole: &mut bool, shared: &Rc<Shared>) -> String {
+async fn talk(address: SocketAddr, whole: &mut bool, heard: &Notify, shared: &Rc<Shared>) -> String {
     let mut line = match timeout(ANSWER, Line::open(address)).await {
         Ok(Ok(line)) => line,
         Ok(Err(fault)) => return fault.to_string(),
@@ -73,6 +89,7 @@
             return fault;
         }
         *whole = false;
+        heard.notify_one();
         shared.act();
     }
 }
--- a/crates/platform/src/io/mod.rs
+++ b/crates/platform/src/io/mod.rs
@@ -6,13 +6,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
-use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, sleep_until};
@@ -32,6 +33,11 @@
 /// A file that can't be used after SIGHUP is read so often, with so long between.
 const READ_AGAIN: usize = 10;
 const READ_PAUSE: Duration = Duration::from_millis(200);
+/// At the end, what was decided is given so long to be written; well below what the platform grants.
+const FAREWELL: Duration = Duration::from_millis(300);
+const FAREWELL_STEP: Duration = Duration::from_millis(2);
+/// All proxies of a fleet may come at once, and so many others with them: the listener's queue takes them.
+const OTHERS: u32 = 1024;
 /// So often a line of sums is logged.
 const SUMS: Duration = Duration::from_secs(5);
 
@@ -67,6 +73,9 @@
                 Effect::End { connection } => {
                     handles.get(&connection).iter().for_each(|handle| handle.end(false))
                 }
+                Effect::LastCall { connection } => {
+                    handles.get(&connection).iter().for_each(|handle| handle.last_call());
+                }
                 Effect::Drop { connection } => {
                     handles.get(&connection).iter().for_each(|handle| handle.end(true))
                 }
@@ -102,10 +111,31 @@
 pub fn serve(path: &Path, config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("the runtime does not start: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(path, config))
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, async {
+        // Before anything else: neither signal may end the pilot by default, however early it comes.
+        let mut signals = Signals::new()?;
+        let listener = tokio::select! {
+            listener = bind(&config) => listener?,
+            _ = signals.terminate.recv() => return Ok(()),
+        };
+        run(path, config, listener, signals).await
+    })
+}
+
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
 }
 
-async fn run(path: &Path, config: Config) -> Result<(), String> {
+impl Signals {
+    fn new() -> Result<Self, String> {
+        let of = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+        Ok(Signals { terminate: of(SignalKind::terminate())?, hangup: of(SignalKind::hangup())? })
+    }
+}
+
+async fn run(path: &Path, config: Config, listener: TcpListener, mut signals: Signals) -> Result<(), String> {
     let shared = Rc::new(Shared {
         controller: RefCell::new(Controller::new(&config)),
         start: Instant::now(),
@@ -118,10 +148,7 @@
     {
         warn!(target: "lockcroft::list", fault, "the list of before can't be used");
     }
-    let mut ends = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let mut reloads = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let listener = bind(config.listen).await?;
-    spawn_local(connections::accept(listener, shared.clone()));
+    let accepting = spawn_local(connections::accept(listener, shared.clone()));
     let (at, follows) = watch::channel(config.discovery);
     spawn_local(discovery::follow(follows, shared.clone()));
     spawn_local(tell_sums(shared.clone()));
@@ -130,8 +157,8 @@
     loop {
         let due = shared.controller.borrow().next_due();
         tokio::select! {
-            _ = ends.recv() => break,
-            _ = reloads.recv() => {
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => {
                 spawn_local(reload(path.to_path_buf(), at.clone()));
             }
             () = shared.news.notified() => sleep(gather).await,
@@ -141,13 +168,32 @@
         shared.carry_out(effects);
     }
     info!(target: "lockcroft::platform", "told to end; proxies keep their tables");
+    accepting.abort();
+    let effects = shared.controller.borrow_mut().decide(shared.now());
+    shared.carry_out(effects);
+    tokio::select! {
+        () = all_written(&shared) => {}
+        () = sleep(FAREWELL) => {}
+        _ = signals.terminate.recv() => {}
+    }
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
-    let start = Instant::now();
+/// Nothing that was begun or decided waits for a socket any more.
+async fn all_written(shared: &Rc<Shared>) {
     loop {
-        match TcpListener::bind(address).await {
+        sleep(FAREWELL_STEP).await;
+        if shared.handles.borrow().values().all(|handle| handle.is_idle()) {
+            return;
+        }
+    }
+}
+
+async fn bind(config: &Config) -> Result<TcpListener, String> {
+    let (start, address) = (Instant::now(), config.listen);
+    let proxies = config.terms.number("fleet.proxies").unwrap_or(0.0) as u32;
+    loop {
+        match listen(address, proxies.saturating_add(OTHERS)) {
             Ok(listener) => return Ok(listener),
             Err(_) if start.elapsed() < BIND_MOST => sleep(BIND_AGAIN).await,
             Err(error) => return Err(format!("cannot listen on {address}: {error}")),
@@ -155,6 +201,13 @@
     }
 }
 
+fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
 /// The address of discovery may change while a pilot runs; the rest holds from start to end. A file that
 /// can't be used changes nothing; as it may be half written, it is read a few times more.
 async fn reload(path: PathBuf, at: watch::Sender<SocketAddr>) {
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -34,8 +34,14 @@
     /// Those on the list now.
     here: BTreeSet<Server>,
     version: Option<u64>,
+    /// Since then only whole lists older than what is held came.
+    stale_since: Option<Duration>,
 }
 
+/// What discovery has to tell counts as told at the latest so long after (the protocol's page). A whole list older
+/// than what is held is one that is late, up to then; after that discovery counts anew.
+const STALE_MOST: Duration = Duration::from_secs(6);
+
 impl Roster {
     pub fn name(&self, server: Server) -> &str {
         self.names.name(server)
@@ -75,6 +81,12 @@
         if !whole && self.version.is_none_or(|held| version < held) {
             return Err(format!("changes to version {version} on top of {:?}", self.version));
         }
+        if self.version.is_some_and(|held| version < held) {
+            let since = *self.stale_since.get_or_insert(now);
+            if now < since + STALE_MOST {
+                return Err(format!("a whole list of version {version}, older than {:?}", self.version));
+            }
+        }
         let (mut listings, mut faults) = (Vec::new(), Vec::new());
         for entry in entries {
             match self.entry(now, wall, entry, places) {
@@ -101,7 +113,7 @@
                 self.moved.insert(*server);
             }
         }
-        self.version = Some(version);
+        (self.version, self.stale_since) = (Some(version), None);
         Ok(Told { whole, version, listings, faults })
     }
 
--- a/crates/platform/tests/controller/channel.rs
+++ b/crates/platform/tests/controller/channel.rs
@@ -101,7 +101,9 @@
                 Effect::Probe { server, address } => {
                     controller.probed(now, server, address, Finding::Passed(Some(0.4)), Duration::ZERO);
                 }
-                Effect::End { .. } | Effect::Drop { .. } => panic!("nobody is to go"),
+                Effect::End { .. } | Effect::Drop { .. } | Effect::LastCall { .. } => {
+                    panic!("nobody is to go")
+                }
             }
         }
     }
--- a/crates/platform/tests/controller/lists.rs
+++ b/crates/platform/tests/controller/lists.rs
@@ -64,3 +64,40 @@
     stage.former = false;
     assert!(stage.run_to(16.0).contains(r#"["s-a",0.0]"#));
 }
+
+/// Discovery has moved, and its new agent is behind: what the old one told of a drain must not be taken back. One
+/// that stays behind for longer than anything may be late counts anew.
+#[test]
+fn a_whole_list_older_than_what_is_held_takes_nothing_back() {
+    let mut stage = Stage::new();
+    stage.join(1, 3, true).run_to(6.0);
+    let names = ["s-a", "s-bb", "s-ccc", "s-dddd"];
+    let up = |name: &&str| entry(name, "up", 0);
+    stage.list(&list(5, false, &[entry("s-bb", "draining", 0)]));
+    assert!(stage.run_to(7.0).contains(r#"["s-bb",0.0]"#));
+    for second in 7..12 {
+        stage.list(&list(4, true, &names.iter().map(up).collect::<Vec<_>>()));
+        let trace = stage.run_to(f64::from(second) + 1.0);
+        assert!(trace.contains("refused: a whole list of version 4") && !trace.contains("s-bb"), "{trace}");
+    }
+    stage.list(&list(4, true, &names.iter().map(up).collect::<Vec<_>>()));
+    assert!(stage.run_to(13.0).contains("refused"));
+    stage.list(&list(4, true, &names.iter().map(up).collect::<Vec<_>>()));
+    let trace = stage.run_to(16.0);
+    assert!(trace.contains(r#"["s-bb","#) && stage.controller.version() == Some(4), "{trace}");
+}
+
+/// The same list once more, and an old change behind a new one.
+#[test]
+fn repeated_and_overtaken_tellings_change_nothing() {
+    let mut stage = Stage::new();
+    stage.join(1, 3, true).run_to(6.0);
+    stage.list(&list(2, false, &[entry("s-bb", "draining", 0)]));
+    assert!(stage.run_to(7.0).contains(r#"["s-bb",0.0]"#));
+    stage.list(&list(2, false, &[entry("s-bb", "draining", 0)]));
+    stage.list(&list(1, false, &[entry("s-bb", "up", 0)]));
+    expect![[r#"
+        7.0 refused: changes to version 1 on top of Some(2)
+    "#]]
+    .assert_eq(&stage.run_to(9.0));
+}
--- a/crates/platform/tests/controller/main.rs
+++ b/crates/platform/tests/controller/main.rs
@@ -3,6 +3,7 @@
 mod channel;
 mod lists;
 mod loads;
+mod long;
 mod orders;
 mod pieces;
 mod stage;
--- a/crates/platform/tests/controller/stage.rs
+++ b/crates/platform/tests/controller/stage.rs
@@ -120,6 +120,11 @@
                 Effect::End { connection } => {
                     let _ = writeln!(self.trace, "{at:.1} {connection} ends");
                 }
+                Effect::LastCall { connection } => {
+                    self.controller.dismiss(connection);
+                    let effects = self.controller.effects();
+                    self.take(effects);
+                }
                 Effect::Drop { connection } => {
                     let _ = writeln!(self.trace, "{at:.1} {connection} is dropped");
                 }
--- a/crates/platform/tests/controller/unjoined.rs
+++ b/crates/platform/tests/controller/unjoined.rs
@@ -1,6 +1,7 @@
 //! Who may speak, and what is not heard.
 
 use expect_test::expect;
+use lockcroft_platform::Effect;
 
 use crate::stage::Stage;
 
@@ -119,10 +120,30 @@
     assert_eq!(acceptance(&stage), "Wait(300ms)");
     stage.run_to(0.3);
     assert_eq!(acceptance(&stage), "Evict(2)");
-    stage.controller.ended(2);
+    let call = stage.controller.last_call(2);
+    assert_eq!(call, Effect::LastCall { connection: 2 });
+    // One goes at a time, and counts until its descriptor is free.
+    stage.controller.dismiss(2);
+    assert_eq!(acceptance(&stage), "Wait(2ms)");
+    stage.controller.closed(2);
     assert_eq!(acceptance(&stage), "Accept");
 }
 
+#[test]
+fn a_joining_that_came_before_the_last_call_was_answered_holds() {
+    let mut stage = Stage::new();
+    stage.accept(1).accept(2);
+    let calls = [1, 2].map(|connection| stage.controller.last_call(connection));
+    assert_eq!(calls, [1, 2].map(|connection| Effect::LastCall { connection }));
+    // What the first one had said is read now.
+    let joining = r#"{"t":"attach","node":3,"locality":"a","w":5,"cold":true}"#;
+    stage.controller.read(stage.now, 1, joining.as_bytes());
+    [1, 2].into_iter().for_each(|connection| stage.controller.dismiss(connection));
+    let trace = stage.run_to(6.0);
+    assert!(trace.contains("1 < {\"t\":\"assign\",\"full\":true"), "{trace}");
+    assert!(trace.contains("2 ends") && !trace.contains("1 ends"), "{trace}");
+}
+
 #[test]
 fn collectors_that_come_again_and_again_do_not_add_up() {
     let mut stage = Stage::new();
