--- a/src/logic.rs
+++ b/src/logic.rs
@@ -245,10 +245,8 @@
         let (within, settle, probes) =
             (self.terms.span("rules.warm_within_us"), self.settle(), self.terms.flag("allowed.probes"));
         for entry in entries {
-            if entry.state == Listed::Gone && !binds {
-                continue;
-            }
-            let Some(known) = self.servers.get_mut(&entry.server) else { continue };
+            let known = self.servers.get_mut(&entry.server).filter(|_| binds || entry.state != Listed::Gone);
+            let Some(known) = known else { continue };
             let fresh = known.probe_at == Duration::MAX || known.barred();
             known.listing = *entry;
             let age = entry.age.unwrap_or(within);
@@ -451,7 +449,7 @@
 
     /// Once a report period: what proxies met moves counters, relief and levels.
     fn review(&mut self, now: Duration) {
-        let (contract, settle) = (self.contract(), self.settle());
+        let (contract, settle, probes) = (self.contract(), self.settle(), self.terms.flag("allowed.probes"));
         let mut all = vec![Tally::default(); self.parts];
         for known in self.servers.values().filter(|known| known.up()) {
             all[known.part] = known.fresh.over(all[known.part], 1.0);
@@ -464,16 +462,17 @@
             let bearable = LATE.max(WORSE * fresh.lateness(contract));
             // Evidence, against the rest of its part: a general slump condemns nobody.
             let others = (fresh.failed - seen.failed) / (fresh.tries - seen.tries).max(1.0);
+            let sound = seen.tries >= f64::from(RISE) && seen.failing() < SOUND;
             let fails = seen.failed >= f64::from(FALL) && seen.failing() > FAILING;
             if fails && known.up() && !known.barred() && others < SOUND {
                 known.moved(-(FALL as i32));
                 known.doubted_until = now + RESEND;
-                // It comes back, on passing probes, with a part that costs little if it still fails.
+                // It comes back, on passing probes or where none are allowed in a while, with a small part.
                 known.relief = RELIEF_LEAST;
                 known.heed_from = known.doubted_until + settle;
                 let text = format!("fails {:.0} of {:.0} tries", seen.failed, seen.tries);
                 self.ready.push_back(Decision::Note { about: Some(*server), text });
-            } else if seen.tries >= f64::from(RISE) && seen.failing() < SOUND && known.counter.is_some() {
+            } else if known.counter.is_some() && (sound || !probes && now >= known.doubted_until) {
                 known.moved(RISE as i32);
             }
             // Relief: a slow server keeps a part that it can do, and regains the rest bit by bit.
--- a/tests/pilot/main.rs
+++ b/tests/pilot/main.rs
@@ -6,3 +6,4 @@
 mod plans;
 mod probes;
 mod stage;
+mod unprobed;
--- a/tests/pilot/stage.rs
+++ b/tests/pilot/stage.rs
@@ -43,6 +43,11 @@
         Stage::with(servers, &[("classes.0.only_zones.0", 0.0)])
     }
 
+    /// No server may be probed.
+    pub fn unprobed(servers: usize) -> Self {
+        Stage::with(servers, &[("allowed.probes", 0.0)])
+    }
+
     pub fn with(servers: usize, more: &[(&str, f64)]) -> Self {
         let mut terms = Terms::default();
         let mut put = |name: &str, term| terms.0.insert(name.to_string(), term);
@@ -70,6 +75,7 @@
         for (name, value) in figures.iter().chain(more) {
             let term = match name.rsplit('.').next() {
                 Some("by_zone" | "fixed_weights") => Term::Flag(true),
+                Some("probes") => Term::Flag(*value > 0.0),
                 _ if name.contains("only_zones") => Term::Text("north".into()),
                 _ => Term::Number(*value),
             };
