Give cold servers half their share while the servers of their table are late as a whole

Followed in a play with decisions and probes logged: one of five pilots gave it 0.35 of its weight at 14.68 s, its fair cold share, as its probe told a load of 0.0; the next told 0.55 and 0.95, and it fell at 17.2 s, before its weight went down. The fleet was sent five times its usual work then (a burst of 2.3, each visit tried 2.1 times), and this pilot knew: 0.6 contract times late at 14.07 s. Excluded: the list (its start was told), tables of others (one table held it), the other pilots (none gave it weight). Line at fault: wary() in src/logic.rs took the whole cold share for safe where the part as a whole was overrun.

Change: half of the cold share while the table is late. Harm: replacements of a lost part come in by half while it is late.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -793,11 +793,11 @@
         // Where many tries fail, or nothing is known of them yet, all may come again at once: a cold one
         // would be pushed over before it tells that it is full.
         let calm = table.failing.is_some_and(|failing| failing <= SOUND);
-        // One that tells that it has room takes its share all the same, one that is not full a little: a part
-        // that is uneasy for want of servers would else keep out those that it needs.
+        // One that tells that it has room takes its share all the same, half where all are late or it is less
+        // empty: a part that is uneasy for want of servers would else keep out those that it needs.
         let grown = |known: &Known| table.failing.is_none() && known.warmth(now, 0.0) >= GROWN;
         let wary = |known: &Known| match known.load.filter(|_| known.counter == Some(TOP)) {
-            Some(load) if calm && load < COMFORT => 1.0,
+            Some(load) if calm && load < COMFORT && table.late <= LATE => 1.0,
             Some(load) if (calm || grown(known)) && load < BUSY => WARY,
             _ => 0.0,
         };
