Give back what an abandoned request counted in the proxy

Callers saw 503 from a proxy for good once a handful of clients had closed before their answers. The HTTP library drops a request's future with its client; forward.rs counted attempts in flight and queued requests up before an await and down after it, so nothing counted down. A reserved retry was lost too.

Every count is now a guard whose Drop gives it back. Attempts in flight belong to the entry at which they began, so a guard needs no routing state, and a later entry of the same name is not touched. An abandoned attempt has its own column, cli_abrt; scur and CurrQueue show what is in flight and queued. A client that only half-closed gets its answer; a reset tells that it has gone.

--- a/crates/proxy/src/commands/show.rs
+++ b/crates/proxy/src/commands/show.rs
@@ -31,9 +31,10 @@
     pub(super) fn show_info(&self) -> String {
         let requests: u64 = self.frontends.values().map(|frontend| frontend.requests).sum();
         format!(
-            "Name: lockcroft\nVersion: {}\nnode: {}\nCumReq: {requests}\n",
+            "Name: lockcroft\nVersion: {}\nnode: {}\nCumReq: {requests}\nCurrQueue: {}\n",
             env!("CARGO_PKG_VERSION"),
-            self.name
+            self.name,
+            self.queued_requests.get()
         )
     }
 
@@ -83,7 +84,9 @@
         endpoint: entry.name.to_string(),
         status: status.into(),
         weight: u64::from(entry.weight),
+        in_flight: Some(entry.in_flight() as u64),
         total: entry.attempts,
+        abandoned: Some(entry.abandoned()),
         connect_errors: entry.connect_errors,
         response_errors: entry.response_errors,
         responses_5xx: entry.responses_5xx,
--- a/crates/proxy/src/io/clients.rs
+++ b/crates/proxy/src/io/clients.rs
@@ -9,7 +9,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use super::client_stream::ClientStream;
 use super::forward::forward;
+use super::guards::CountGuard;
 use super::request_validator::RequestValidator;
 use super::worker::Worker;
 
@@ -28,11 +30,11 @@
         }
         // Without it responses are only slower.
         let _ = stream.set_nodelay(true);
-        worker.clients.set(worker.clients.get() + 1);
+        let client = CountGuard::new(&worker.clients);
         let worker = worker.clone();
         spawn_local(async move {
             serve_connection(stream, &worker).await;
-            worker.clients.set(worker.clients.get() - 1);
+            drop(client);
         });
     }
 }
@@ -40,11 +42,14 @@
 async fn serve_connection(stream: TcpStream, worker: &Rc<Worker>) {
     let service = service_fn(|request| forward(request, worker.clone()));
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(worker.config.header_timeout);
-    let serving = http.serve_connection(TokioIo::new(RequestValidator::new(stream)), service);
+    // Who has closed the sending side only still waits for the response.
+    http.half_close(true).timer(TokioTimer::new()).header_read_timeout(worker.config.header_timeout);
+    let stream = ClientStream::new(stream);
+    let serving = http.serve_connection(TokioIo::new(RequestValidator::new(stream.clone())), service);
     tokio::select! {
         // An error concerns this client alone: it broke off, or was cut off.
         _ = serving => {}
+        () = stream.reset() => {}
         () = worker.stopped() => {}
     }
 }
--- a/crates/proxy/src/io/forward.rs
+++ b/crates/proxy/src/io/forward.rs
@@ -12,10 +12,11 @@
 
 use super::attempt::{AttemptResult, RequestHead, attempt, status_response};
 use super::bodies::{Body, RequestBody};
+use super::guards::{AttemptGuard, CountGuard, RetryReservation};
 use super::headers::{CLIENT_ID, CLIENT_TIMEOUT, REQUEST_ID, header_text};
 use super::worker::Worker;
 use crate::attempts::may_retry;
-use crate::routing::{Choice, ChosenEndpoint};
+use crate::routing::Choice;
 
 /// The final response to a request.
 struct FinalResponse {
@@ -83,85 +84,107 @@
 async fn attempt_until_final(request: &RequestHead, mut body: RequestBody, worker: &Worker) -> FinalResponse {
     worker.retry_budget.borrow_mut().record_first_attempt();
     let mut attempts = 0;
-    let mut previous: Option<ChosenEndpoint> = None;
+    let mut previous: Option<String> = None;
+    let mut retry: Option<RetryReservation<'_>> = None;
     loop {
-        let excluded = previous.as_ref().map(|endpoint| endpoint.endpoint.as_str());
-        let Some(endpoint) = wait_for_endpoint(request, excluded, worker).await else {
+        let Some(attempt) = wait_for_endpoint(request, previous.as_deref(), worker).await else {
             return FinalResponse { response: rejection(worker), attempts };
         };
-        let result = timed_attempt(request, &endpoint, &mut body, worker).await;
+        if let Some(retry) = retry.take() {
+            retry.spend();
+        }
+        let Attempted { result, endpoint } = timed_attempt(request, attempt, &mut body, worker).await;
         attempts += 1;
         let retries_enabled = worker.state().retries_enabled(&request.class);
         let may_retry = may_retry(attempts, result.outcome, retries_enabled)
             && body.is_buffered()
             && worker.now() < request.deadline;
-        if !may_retry || !worker.retry_budget.borrow_mut().try_reserve() {
+        retry = if may_retry { RetryReservation::try_reserve(worker) } else { None };
+        if retry.is_none() {
             return FinalResponse { response: result.response, attempts };
         }
         previous = Some(endpoint);
     }
 }
 
+/// An attempt that ended.
+struct Attempted {
+    result: AttemptResult,
+    /// The name of its endpoint.
+    endpoint: String,
+}
+
 /// Makes one attempt and records its outcome and latency.
 async fn timed_attempt(
     request: &RequestHead,
-    endpoint: &ChosenEndpoint,
+    in_flight: AttemptGuard<'_>,
     body: &mut RequestBody,
     worker: &Worker,
-) -> AttemptResult {
+) -> Attempted {
     let started_at = worker.now();
     let time_limit = request.deadline.saturating_sub(started_at).min(worker.config.attempt_timeout);
-    let result = attempt(request, endpoint, body, time_limit, worker).await;
+    let result = attempt(request, in_flight.endpoint(), body, time_limit, worker).await;
     let latency = worker.now() - started_at;
-    worker.state().record_outcome(worker.now(), endpoint, result.outcome, latency);
-    worker.capacity.notify_waiters();
+    let endpoint = in_flight.end(result.outcome, latency);
     if !result.outcome.is_failure() {
-        worker.latencies.borrow_mut().record(&endpoint.endpoint, &request.class, latency);
+        worker.latencies.borrow_mut().record(&endpoint, &request.class, latency);
     }
-    result
+    Attempted { result, endpoint }
+}
+
+/// The result of choosing an endpoint for an attempt, which counts as in flight from then on.
+enum Selection<'a> {
+    Attempt(AttemptGuard<'a>),
+    Saturated,
+    NoEndpoint,
 }
 
-/// An endpoint with capacity. Waits a bounded time for one, beside a bounded number of other requests.
-async fn wait_for_endpoint(
+/// An attempt at an endpoint with capacity. Waits a bounded time for one, beside a bounded number of other
+/// requests.
+async fn wait_for_endpoint<'a>(
     request: &RequestHead,
     excluded: Option<&str>,
-    worker: &Worker,
-) -> Option<ChosenEndpoint> {
-    match choose(request, excluded, worker) {
-        Choice::Endpoint(endpoint) => return Some(endpoint),
-        Choice::NoEndpoint => return None,
-        Choice::Saturated => {}
+    worker: &'a Worker,
+) -> Option<AttemptGuard<'a>> {
+    match select_endpoint(request, excluded, worker) {
+        Selection::Attempt(attempt) => return Some(attempt),
+        Selection::NoEndpoint => return None,
+        Selection::Saturated => {}
     }
     if worker.queued_requests.get() >= worker.config.max_queued_requests {
         return None;
     }
-    worker.queued_requests.set(worker.queued_requests.get() + 1);
-    let found = wait_for_capacity(request, excluded, worker).await;
-    worker.queued_requests.set(worker.queued_requests.get() - 1);
-    found
+    let _queued = CountGuard::new(&worker.queued_requests);
+    wait_for_capacity(request, excluded, worker).await
 }
 
-async fn wait_for_capacity(
+async fn wait_for_capacity<'a>(
     request: &RequestHead,
     excluded: Option<&str>,
-    worker: &Worker,
-) -> Option<ChosenEndpoint> {
+    worker: &'a Worker,
+) -> Option<AttemptGuard<'a>> {
     let wait_until = (worker.now() + worker.config.queue_timeout).min(request.deadline);
     loop {
         let time_left = wait_until.saturating_sub(worker.now());
+        // Each release of capacity wakes all that wait, so that none is lost with one that is dropped.
         if time_left.is_zero() || timeout(time_left, worker.capacity.notified()).await.is_err() {
             return None;
         }
-        match choose(request, excluded, worker) {
-            Choice::Endpoint(endpoint) => return Some(endpoint),
-            Choice::NoEndpoint => return None,
-            Choice::Saturated => {}
+        match select_endpoint(request, excluded, worker) {
+            Selection::Attempt(attempt) => return Some(attempt),
+            Selection::NoEndpoint => return None,
+            Selection::Saturated => {}
         }
     }
 }
 
-fn choose(request: &RequestHead, excluded: Option<&str>, worker: &Worker) -> Choice {
-    worker.state().choose(worker.now(), &request.class, excluded)
+fn select_endpoint<'a>(request: &RequestHead, excluded: Option<&str>, worker: &'a Worker) -> Selection<'a> {
+    let choice = worker.state().choose(worker.now(), &request.class, excluded);
+    match choice {
+        Choice::Endpoint(endpoint) => Selection::Attempt(AttemptGuard::new(worker, endpoint)),
+        Choice::Saturated => Selection::Saturated,
+        Choice::NoEndpoint => Selection::NoEndpoint,
+    }
 }
 
 /// A number from 0 up to 1 by which admission is decided; the same whenever a client comes again.
--- a/crates/proxy/src/io/mod.rs
+++ b/crates/proxy/src/io/mod.rs
@@ -4,11 +4,13 @@
 mod attempt;
 mod blocking_pool;
 mod bodies;
+mod client_stream;
 mod clients;
 mod connection_pool;
 mod control;
 mod folder_watch;
 mod forward;
+mod guards;
 mod headers;
 mod latencies;
 mod request_validator;
--- a/crates/proxy/src/io/request_validator.rs
+++ b/crates/proxy/src/io/request_validator.rs
@@ -5,8 +5,8 @@
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
+use super::client_stream::ClientStream;
 use crate::framing_validator::FramingValidator;
 
 const BAD_REQUEST: &[u8] = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -14,14 +14,14 @@
 /// Lets no request through whose framing is ambiguous. The client then gets status 400, and the HTTP library
 /// reads the end of the connection.
 pub struct RequestValidator {
-    stream: TcpStream,
+    stream: ClientStream,
     framing: FramingValidator,
     /// Once a request was refused: how much of the response is written.
     refusal_written: Option<usize>,
 }
 
 impl RequestValidator {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: ClientStream) -> Self {
         RequestValidator { stream, framing: FramingValidator::default(), refusal_written: None }
     }
 
--- a/crates/proxy/src/io/worker.rs
+++ b/crates/proxy/src/io/worker.rs
@@ -1,6 +1,7 @@
 //! What all tasks of a proxy share. They run on one thread, so that no request waits for a lock.
 
 use std::cell::{Cell, RefCell, RefMut};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use lockcroft_runtime_api::{Command, SessionState};
@@ -27,8 +28,8 @@
     /// An attempt ended or tables changed: an endpoint may have capacity.
     pub capacity: Notify,
     /// Requests that wait for capacity.
-    pub queued_requests: Cell<usize>,
-    pub clients: Cell<usize>,
+    pub queued_requests: Rc<Cell<usize>>,
+    pub clients: Rc<Cell<usize>>,
     stopped: watch::Sender<bool>,
 }
 
@@ -39,14 +40,14 @@
             RoutingState::new(&config.name, &classes, &config.default_table, config.limits, config.seed);
         Worker {
             started_at: Instant::now(),
-            state: RefCell::new(state),
             staging: Mutex::new(()),
             connections: RefCell::new(ConnectionPool::new(config.idle_timeout)),
             retry_budget: RefCell::new(RetryBudget::new(config.retry_ratio)),
             latencies: RefCell::default(),
             capacity: Notify::new(),
-            queued_requests: Cell::new(0),
-            clients: Cell::new(0),
+            queued_requests: state.queued_requests.clone(),
+            clients: Rc::default(),
+            state: RefCell::new(state),
             stopped: watch::Sender::new(false),
             config,
         }
--- a/crates/proxy/src/retry_budget.rs
+++ b/crates/proxy/src/retry_budget.rs
@@ -36,4 +36,9 @@
         }
         enough
     }
+
+    /// Gives back the token of a retry that was not made.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.max_tokens);
+    }
 }
--- a/crates/proxy/src/routing/backend.rs
+++ b/crates/proxy/src/routing/backend.rs
@@ -84,12 +84,13 @@
     pub(super) fn choose(&mut self, rng: &mut WyRand, filter: &EntryFilter) -> EntryChoice<'_> {
         self.rebuild_chooser();
         let entries = &self.entries;
-        let is_open =
-            |index: usize| filter.allows(&entries[index]) && entries[index].in_flight < filter.max_in_flight;
-        match self.chooser.next(rng, is_open, |index| entries[index].in_flight) {
+        let is_open = |index: usize| {
+            filter.allows(&entries[index]) && entries[index].in_flight() < filter.max_in_flight
+        };
+        match self.chooser.next(rng, is_open, |index| entries[index].in_flight()) {
             Some(index) => {
-                let entry = &mut self.entries[index];
-                entry.in_flight += 1;
+                let entry = &self.entries[index];
+                entry.counter.begin();
                 EntryChoice::Entry(entry)
             }
             None if entries.iter().any(|entry| filter.allows(entry)) => EntryChoice::Saturated,
--- a/crates/proxy/src/routing/entry.rs
+++ b/crates/proxy/src/routing/entry.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::attempt_counter::AttemptCounter;
 use super::limits::LoadBalancingLimits;
 use crate::attempts::AttemptOutcome;
 
@@ -29,9 +30,8 @@
     pub draining: bool,
     consecutive_failures: u32,
     ejected_until: Duration,
-    /// Attempts that have not ended yet.
-    pub in_flight: usize,
-    /// Attempts that ended.
+    pub(super) counter: AttemptCounter,
+    /// Attempts that ended with an outcome.
     pub attempts: u64,
     /// Attempts that ended without a connection.
     pub connect_errors: u64,
@@ -58,7 +58,7 @@
             draining: false,
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
-            in_flight: 0,
+            counter: AttemptCounter::default(),
             attempts: 0,
             connect_errors: 0,
             response_errors: 0,
@@ -74,6 +74,18 @@
         self.effective_weight() > 0
     }
 
+    /// Attempts that have not ended yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.counter.in_flight()
+    }
+
+    /// Attempts that were abandoned by their clients: neither a success nor a failure of the endpoint.
+    #[must_use]
+    pub fn abandoned(&self) -> u64 {
+        self.counter.abandoned()
+    }
+
     /// Whether it is in maintenance or draining.
     #[must_use]
     pub fn is_not_ready(&self) -> bool {
@@ -99,7 +111,7 @@
         self.draining = staged.draining;
     }
 
-    /// Counts an attempt that ended, and ejects the endpoint after too many failures in a row.
+    /// Counts the outcome of an attempt, and ejects the endpoint after too many failures in a row.
     pub(super) fn record(
         &mut self,
         now: Duration,
@@ -107,7 +119,6 @@
         latency: Duration,
         limits: &LoadBalancingLimits,
     ) {
-        self.in_flight = self.in_flight.saturating_sub(1);
         self.attempts += 1;
         match outcome {
             AttemptOutcome::ConnectFailed => self.connect_errors += 1,
--- a/crates/proxy/src/routing/mod.rs
+++ b/crates/proxy/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Everything by which a proxy routes requests, free of I/O and clock: its tables, the map from classes to
 //! tables, its variables, and what its own attempts showed. Times are measured from the proxy's start.
 
+mod attempt_counter;
 mod backend;
 mod digest;
 mod entry;
--- a/crates/proxy/src/routing/requests.rs
+++ b/crates/proxy/src/routing/requests.rs
@@ -7,6 +7,7 @@
 
 use lockcroft_runtime_api::tables::class_variable_name;
 
+use super::attempt_counter::AttemptCounter;
 use super::backend::{EntryChoice, EntryFilter};
 use super::entry::TableEntry;
 use super::state::RoutingState;
@@ -30,6 +31,16 @@
     pub endpoint: String,
     /// Where the endpoint takes requests.
     pub address: SocketAddr,
+    /// Where the attempt counts as in flight.
+    counter: AttemptCounter,
+}
+
+impl ChosenEndpoint {
+    /// Counts the attempt as abandoned: its client is gone, and what came of it is not known. Needs no routing
+    /// state, as an attempt may be dropped at any moment.
+    pub fn abandon(&self) {
+        self.counter.abandon();
+    }
 }
 
 /// The result of choosing an endpoint.
@@ -69,7 +80,7 @@
 
     /// Chooses the endpoint for the next attempt: one that is open, not ejected here, below its limit of
     /// attempts in flight, and not `excluded`. The attempt counts as in flight until it
-    /// [ends](RoutingState::record_outcome).
+    /// [ends](RoutingState::record_outcome) or is [abandoned](ChosenEndpoint::abandon).
     pub fn choose(&mut self, now: Duration, class: &str, excluded: Option<&str>) -> Choice {
         let Some(name) = self.class_map.get(class) else { return Choice::NoEndpoint };
         let Some(backend) = self.backends.get_mut(name) else { return Choice::NoEndpoint };
@@ -83,6 +94,7 @@
                 backend: name.clone(),
                 endpoint: entry.name.to_string(),
                 address: entry.address,
+                counter: entry.counter.clone(),
             }),
             EntryChoice::Saturated => Choice::Saturated,
             EntryChoice::NoEntry => Choice::NoEndpoint,
@@ -97,9 +109,14 @@
         outcome: AttemptOutcome,
         latency: Duration,
     ) {
-        // An entry that was removed while the attempt was in flight has no counters any more.
+        chosen.counter.end();
         let Some(backend) = self.backends.get_mut(&chosen.backend) else { return };
         let Some(entry) = Rc::make_mut(backend).entry_mut(&chosen.endpoint) else { return };
+        // An entry that was removed while the attempt was in flight has no counters any more, and a later one
+        // of the same name is another endpoint.
+        if entry.counter != chosen.counter {
+            return;
+        }
         entry.record(now, outcome, latency, &self.limits);
     }
 
--- a/crates/proxy/src/routing/state.rs
+++ b/crates/proxy/src/routing/state.rs
@@ -1,6 +1,7 @@
 //! The routing state as a whole, and how a batch of commands takes effect on it: staged on a copy, then
 //! adopted in one short step, so that no request sees half of it.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,6 +40,9 @@
     pub variables: BTreeMap<String, i64>,
     /// Counters by class.
     pub frontends: BTreeMap<String, Frontend>,
+    /// Requests that wait for an endpoint with capacity. Shared by all copies, as requests count while commands are
+    /// staged.
+    pub queued_requests: Rc<Cell<usize>>,
     pub(super) rng: WyRand,
     /// Counts the batches of commands that took effect.
     pub version: u64,
@@ -78,6 +82,7 @@
             last_prepared_version: 0,
             variables: BTreeMap::new(),
             frontends: classes.iter().map(|class| (class.clone(), Frontend::default())).collect(),
+            queued_requests: Rc::default(),
             rng: WyRand::new_seed(seed),
             version: 0,
             committed_version: 0,
--- a/crates/proxy/src/snapshot_commands.rs
+++ b/crates/proxy/src/snapshot_commands.rs
@@ -124,7 +124,7 @@
     fn phase_out(&mut self, path: &str, entry: &TableEntry) {
         if entry.weight > 0 {
             self.push(&["set", "server", path, "weight", "0"]);
-        } else if entry.in_flight == 0 {
+        } else if entry.in_flight() == 0 {
             self.delete(path);
         }
     }
--- a/crates/proxy/tests/transcript.rs
+++ b/crates/proxy/tests/transcript.rs
@@ -255,26 +255,26 @@
     check(
         LoadBalancingPolicy::SmoothWeightedRoundRobin,
         &expect![[r#"
-            0: 8085 lines, hash 17be103363861359, digest 1897481244127450682
-            1: 8649 lines, hash 54b0f77a770d6c56, digest 6818336914592923074
-            2: 8296 lines, hash 214d84b6c0c3fe0e, digest 6759689251129285120
-            3: 8405 lines, hash 81eb9b5abe748b79, digest 5166962963478674878
-            4: 7964 lines, hash ced118d918607c0a, digest 1404222781840866350
-            5: 8209 lines, hash d4119692fcdcd826, digest 7462280365276593553
-            6: 8658 lines, hash 9273bf22e2a3ce9b, digest 5282710621272408522
-            7: 8299 lines, hash 4be290dc3a754ea4, digest 8341160765679522225
-            8: 8054 lines, hash 9fd615a59f7b64bb, digest 4696793006446960578
-            9: 8017 lines, hash 20ce0c312400fef5, digest 3793316410495389991
-            10: 8296 lines, hash b5bb4fe569cbd161, digest 8885720600597935351
-            11: 8440 lines, hash 599535a8ce8247cd, digest 6880999877642267481
-            12: 8224 lines, hash fdd4c96553ebb8af, digest 5679357922826616422
-            13: 8595 lines, hash c5f5fe19a5d8e155, digest 645990818551885616
-            14: 8174 lines, hash b0a230eb31c1b3c6, digest 1758498198796706029
-            15: 8431 lines, hash d9ec75ec968c7e21, digest 1604962089983347998
-            16: 8164 lines, hash 101f5734a0feba05, digest 7006359751744866715
-            17: 8404 lines, hash 24eec2e4925591a0, digest 3125703751388549376
-            18: 8034 lines, hash 67cd8e1e18d7870f, digest 6785265608097673656
-            19: 8506 lines, hash 1a1bdb43e8229f4c, digest 1018970276074821098
+            0: 8085 lines, hash 03ac72890c55a51f, digest 1897481244127450682
+            1: 8649 lines, hash 9210169fdaf92ac1, digest 6818336914592923074
+            2: 8296 lines, hash 62784551f9b01fa9, digest 6759689251129285120
+            3: 8405 lines, hash 5a96f42269f2caeb, digest 5166962963478674878
+            4: 8004 lines, hash 2853834978dee710, digest 7635841806228276772
+            5: 8209 lines, hash abf7c88fec976f73, digest 7462280365276593553
+            6: 8658 lines, hash 646d92e2ee8cd07a, digest 5282710621272408522
+            7: 8299 lines, hash a9e32b1a22648bcf, digest 8341160765679522225
+            8: 8054 lines, hash 0a4f7990e2d15b1e, digest 4696793006446960578
+            9: 8017 lines, hash f1b75160fe3b3270, digest 3793316410495389991
+            10: 8296 lines, hash f33734bd2a1eb72a, digest 8885720600597935351
+            11: 8440 lines, hash 37de921dafc0b309, digest 6880999877642267481
+            12: 8224 lines, hash 3b6ad3b37a717c72, digest 5679357922826616422
+            13: 8595 lines, hash e35ef68bdd3abf31, digest 645990818551885616
+            14: 8174 lines, hash 1cce1695343d07f8, digest 1758498198796706029
+            15: 8431 lines, hash 90815bc70a050e84, digest 1604962089983347998
+            16: 8164 lines, hash b7059f7a782b6a28, digest 7006359751744866715
+            17: 8404 lines, hash 33b58af7b8dfa533, digest 3125703751388549376
+            18: 8034 lines, hash 75498d6f2318762b, digest 6785265608097673656
+            19: 8506 lines, hash b66e52214aee38b1, digest 1018970276074821098
         "#]],
     );
 }
@@ -284,26 +284,26 @@
     check(
         LoadBalancingPolicy::WeightedRandom,
         &expect![[r#"
-            0: 8073 lines, hash 6bd84ad10f1ef37b, digest 5033844077978641667
-            1: 8524 lines, hash def0533fd94b1cd4, digest 9084350377456338248
-            2: 8346 lines, hash 81b9722c4636d323, digest 2426279694526302964
-            3: 8413 lines, hash bdce7e45b6fc510a, digest 5166962963478674878
-            4: 8073 lines, hash 00bdb8a17ad89519, digest 3102197534359743705
-            5: 8298 lines, hash d50c593aa95c5998, digest 4110646098300371203
-            6: 8495 lines, hash 11253162b67be32d, digest 6473289652191176354
-            7: 8300 lines, hash 314fd6e86f41c6db, digest 8341160765679522225
-            8: 7930 lines, hash 3346609b90027fd5, digest 4696793006446960578
-            9: 8213 lines, hash 2f57e09f537ec7a7, digest 4851356711660554531
-            10: 8186 lines, hash 0b4b1a1f76b922f4, digest 5025497465015343810
-            11: 8326 lines, hash f2b5da8fea05e552, digest 1751107156751682893
-            12: 8093 lines, hash 8be2204210d96aef, digest 5259669906965812485
-            13: 8222 lines, hash 2d70dd73e287026c, digest 1919963880818881590
-            14: 7898 lines, hash f659baba66750b12, digest 8096091209724446308
-            15: 8276 lines, hash beb8d2e9802f5373, digest 2333131544505942959
-            16: 7975 lines, hash 28df1e817d643cd5, digest 6336927629695579289
-            17: 8396 lines, hash 85b867040be51e11, digest 9067688030737833988
-            18: 8271 lines, hash 1f733064d7190d88, digest 4840544018000058385
-            19: 8534 lines, hash cde98dee32e688d9, digest 2030696118850796105
+            0: 8073 lines, hash 32c2b1909829d5c9, digest 5033844077978641667
+            1: 8524 lines, hash 9c619af9d76b773e, digest 9084350377456338248
+            2: 8346 lines, hash f73f890770fd3fe3, digest 2426279694526302964
+            3: 8413 lines, hash 2dbb5c21e7962a8a, digest 5166962963478674878
+            4: 8073 lines, hash 5260d6e3f32b7ea7, digest 3102197534359743705
+            5: 8298 lines, hash ebbdd35f995d2e45, digest 4110646098300371203
+            6: 8495 lines, hash b7bec7a5c969a7ab, digest 6473289652191176354
+            7: 8300 lines, hash 5bf6e5aa890231d4, digest 8341160765679522225
+            8: 7930 lines, hash f00f248d3579a89f, digest 4696793006446960578
+            9: 8213 lines, hash 873ce505af054508, digest 4851356711660554531
+            10: 8186 lines, hash 974c97bb274908e5, digest 5025497465015343810
+            11: 8326 lines, hash 8af63f9566d0bd0e, digest 1751107156751682893
+            12: 8093 lines, hash 2a5414a99020c074, digest 5259669906965812485
+            13: 8222 lines, hash 4100e72193a8b2fd, digest 1919963880818881590
+            14: 7898 lines, hash 9cd2ca200a703e21, digest 8096091209724446308
+            15: 8276 lines, hash a054c0c1cb8c2a32, digest 2333131544505942959
+            16: 7975 lines, hash 37feb0684b7eed98, digest 6336927629695579289
+            17: 8396 lines, hash 987d2743926253a0, digest 9067688030737833988
+            18: 8271 lines, hash 0c37a4676bb5b39b, digest 4840544018000058385
+            19: 8534 lines, hash df770cf61318dee4, digest 2030696118850796105
         "#]],
     );
 }
@@ -313,26 +313,26 @@
     check(
         "pair".parse().expect("a policy"),
         &expect![[r#"
-            0: 8119 lines, hash f550b8fdf85c1fa0, digest 809866563347169335
-            1: 8389 lines, hash 4bd56300be58e481, digest 4243957211881600423
-            2: 8339 lines, hash 816a44d675ee15b8, digest 2426279694526302964
-            3: 8000 lines, hash 6ce56650da04cc7d, digest 1271243156171072935
-            4: 7910 lines, hash a1d3d44f663f06af, digest 1731800481125423777
-            5: 8109 lines, hash 4fabb9ca91a8d4ae, digest 7817641989689639210
-            6: 8479 lines, hash f28ce1f74d432a15, digest 741037057596747299
-            7: 8299 lines, hash d0542e4a6e63edeb, digest 8341160765679522225
-            8: 7970 lines, hash 7ccd28be8c75eb76, digest 915715217297166858
-            9: 8256 lines, hash 813f7a875f09f0ae, digest 4851356711660554531
-            10: 8201 lines, hash d4ba0e221c069de1, digest 2579861101311034109
-            11: 8347 lines, hash f015f6d48ede4374, digest 1751107156751682893
-            12: 8046 lines, hash f1cb938896212ebd, digest 664154360796679426
-            13: 8194 lines, hash fd74757af0ebafae, digest 4804767918886279878
-            14: 7907 lines, hash 2578bf9cefedede8, digest 8096091209724446308
-            15: 8127 lines, hash 4db5876bfdda61b1, digest 2333131544505942959
-            16: 8121 lines, hash 06c699eff9a03ce9, digest 6336927629695579289
-            17: 8486 lines, hash 1a2efec6d1adcd74, digest 9067688030737833988
-            18: 8091 lines, hash 132c48f280232fb0, digest 3602983940564095111
-            19: 8548 lines, hash 98a1a4eedace0110, digest 7917822534423604720
+            0: 8119 lines, hash 280d2f5a3a02f9cc, digest 809866563347169335
+            1: 8389 lines, hash f7f429b9cc17d011, digest 4243957211881600423
+            2: 8339 lines, hash 4e36cd6d0622ccb7, digest 2426279694526302964
+            3: 8000 lines, hash 2faa63b59a60481e, digest 1271243156171072935
+            4: 7910 lines, hash ec96125ccfa6d6bd, digest 1731800481125423777
+            5: 8109 lines, hash 1d1cbaf54f8ebf03, digest 7817641989689639210
+            6: 8479 lines, hash 5ffc54f31fb4ab73, digest 741037057596747299
+            7: 8299 lines, hash 8a4884805cf5032b, digest 8341160765679522225
+            8: 7970 lines, hash f56497b77309dd33, digest 915715217297166858
+            9: 8256 lines, hash efa60a8a23fc74fc, digest 4851356711660554531
+            10: 8201 lines, hash 82c85727f07633b9, digest 2579861101311034109
+            11: 8347 lines, hash 2987b525a0dc7c72, digest 1751107156751682893
+            12: 8046 lines, hash 865a02120af5fecc, digest 664154360796679426
+            13: 8194 lines, hash 49cb3bcd67d89233, digest 4804767918886279878
+            14: 7907 lines, hash 37ba1dee97be0d6e, digest 8096091209724446308
+            15: 8127 lines, hash 3c4395a2d9a95c57, digest 2333131544505942959
+            16: 8121 lines, hash 10e869b66128d947, digest 6336927629695579289
+            17: 8486 lines, hash ea16ce90356d075d, digest 9067688030737833988
+            18: 8091 lines, hash f105dc8cbfbf3405, digest 3602983940564095111
+            19: 8548 lines, hash 37ee95416468c8cc, digest 7917822534423604720
         "#]],
     );
 }
--- a/crates/runtime-api/src/tables/stat.rs
+++ b/crates/runtime-api/src/tables/stat.rs
@@ -29,8 +29,12 @@
     pub status: String,
     /// The weight in force.
     pub weight: u64,
-    /// Requests at a frontend, attempts that ended at an endpoint.
+    /// Attempts that have not ended, where it is given.
+    pub in_flight: Option<u64>,
+    /// Requests at a frontend, attempts that ended with an outcome at an endpoint.
     pub total: u64,
+    /// Attempts abandoned by their clients, where it is given; they are not in `total`.
+    pub abandoned: Option<u64>,
     /// Requests shed by the admission rate.
     pub shed: u64,
     /// Attempts that ended without a connection.
@@ -65,7 +69,9 @@
         match column {
             "type" => Some(self.row_type()),
             "weight" => Some(self.weight),
+            "scur" => self.in_flight,
             "stot" | "req_tot" => Some(self.total),
+            "cli_abrt" => self.abandoned,
             "dreq" => Some(self.shed),
             "econ" => Some(self.connect_errors),
             "eresp" => Some(self.response_errors),
@@ -158,7 +164,9 @@
             Ok(())
         },
         "weight" => |row, value| parse(value).map(|number| row.weight = number),
+        "scur" => |row, value| parse(value).map(|number| row.in_flight = Some(number)),
         "stot" => |row, value| parse(value).map(|number| row.total = number),
+        "cli_abrt" => |row, value| parse(value).map(|number| row.abandoned = Some(number)),
         "dreq" => |row, value| parse(value).map(|number| row.shed = number),
         "econ" => |row, value| parse(value).map(|number| row.connect_errors = number),
         "eresp" => |row, value| parse(value).map(|number| row.response_errors = number),
