Write a reject that comes behind a half-written message

Callers (proxies, collectors) slow to read lost the reject that says why they were closed. At a close after writes, connection.rs wrote the outbox only, not what had become pending since; the end of input took both. There is one way of ending now, write_remaining.

a_reject_behind_a_half_written_message_is_written failed on the old lines with an assign as the last message; with a table small enough for the socket's buffer it passed either way, so its table is 6 MB.

--- a/crates/cli/tests/daemon/platform_races.rs
+++ b/crates/cli/tests/daemon/platform_races.rs
@@ -24,8 +24,13 @@
 
 /// A list so long that its table fills the buffers of a socket; its endpoints are not health-checked.
 fn long_list(first: &str, status: &str) -> Vec<Value> {
+    list_of_long_names(first, status, 200)
+}
+
+/// A list whose names have about so many letters.
+fn list_of_long_names(first: &str, status: &str, letters: usize) -> Vec<Value> {
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    let name = |at| format!("s-{at}-{}", "long".repeat(50));
+    let name = |at| format!("s-{at}-{}", "long".repeat(letters / 4));
     let others = (0..LONG_LIST_LENGTH - 1).map(|at| entry(&name(at), address, "up", 0));
     std::iter::once(entry(first, address, status, 0)).chain(others).collect()
 }
@@ -183,6 +188,25 @@
     assert_eq!(controller.exit_code_within(Duration::from_millis(700)), Some(0));
 }
 
+/// Guards against a `reject` that is lost because an earlier message is half written.
+#[test]
+fn a_reject_behind_a_half_written_message_is_written() {
+    // More than the kernel takes of one connection, 4 MiB.
+    let discovery = Discovery::start(1, list_of_long_names("s-a", "up", 3000));
+    let controller = controller_with_long_tables(&discovery);
+    let mut slow = slow_reader(&controller, 3);
+    wait_for_bytes(&slow);
+    slow.send("this is no message\n");
+    thread::sleep(Duration::from_millis(150));
+    SockRef::from(&slow.stream).set_recv_buffer_size(1 << 20).expect("set");
+    let received = slow.read_to_end().expect("a good close");
+    let lines: Vec<Value> =
+        received.lines().map(|line| serde_json::from_str(line).expect("a whole message")).collect();
+    let entries = lines.iter().filter_map(|line| line["endpoints"].as_array()).map(Vec::len);
+    assert_eq!(entries.sum::<usize>(), LONG_LIST_LENGTH);
+    assert_eq!(lines.last().map(|last| &last["t"]), Some(&json!("reject")));
+}
+
 #[test]
 fn a_reader_that_stalls_within_a_message_gets_all_of_it_then_the_latest_change() {
     let discovery = Discovery::start(1, long_list("s-a", "up"));
--- a/crates/platform/src/io/connection.rs
+++ b/crates/platform/src/io/connection.rs
@@ -151,16 +151,15 @@
         }
         self.shared.control_plane.borrow_mut().connection_ended(self.connection);
         self.shared.after_input();
-        self.outbox.extend_from_slice(&self.handle.pending.take());
         // What can't be written in time is owed to nobody any more.
-        let _ = timeout(CLOSE_TIMEOUT, self.writer.write_all(&self.outbox)).await;
+        let _ = self.write_remaining().await;
         Ok(())
     }
 
     /// Writes what is pending, then closes. Bytes that lie unread at a close make a reset of it, which may take the
     /// last message along: who has sent something is read on for a while, where descriptors allow.
     async fn close_after_writes(mut self) -> io::Result<()> {
-        timeout(CLOSE_TIMEOUT, self.writer.write_all(&self.outbox)).await??;
+        self.write_remaining().await?;
         self.writer.shutdown().await?;
         if self.has_received && self.shared.control_plane.borrow().has_capacity() {
             // It is closed in any case.
@@ -169,6 +168,14 @@
         Ok(())
     }
 
+    /// Writes the rest of what is being written and all that became pending since: the last message of a connection
+    /// often comes while an earlier one is half written.
+    async fn write_remaining(&mut self) -> io::Result<()> {
+        self.outbox.extend_from_slice(&self.handle.pending.take());
+        self.handle.writing_bytes.set(self.outbox.len());
+        timeout(CLOSE_TIMEOUT, self.writer.write_all(&self.outbox)).await?
+    }
+
     async fn drop_what_comes(&mut self) -> io::Result<()> {
         let mut buffer = vec![0; DROP_BUFFER_BYTES];
         let mut dropped = 0;
