Free a place in the fake endpoint's queue when its connection ends

With two connections gone while they waited the test double rejected everything for good; connections_that_end_free_their_places_in_the_queue got 503 before. The place is a guard now.

--- a/crates/testbed/src/fake_endpoint/process.rs
+++ b/crates/testbed/src/fake_endpoint/process.rs
@@ -203,9 +203,9 @@
 
     /// Waits for a core and holds it for the time of the work.
     async fn execute(&self, request: u64, class: String, work: f64, slowdown: f64) {
-        self.state().queued += 1;
+        let queued = QueuedRequest::new(self);
         let core = self.cores.acquire().await;
-        self.state().queued -= 1;
+        drop(queued);
         let endpoint = self.config.name.clone();
         self.recorder.record(TrafficEvent::RequestExecuted { endpoint, request, class });
         let rejections = std::mem::take(&mut self.state().rejection_backlog_s);
@@ -249,6 +249,22 @@
     }
 }
 
+/// A request that waits for a core; its place is free again when it is dropped, as with its connection.
+struct QueuedRequest<'a>(&'a Process);
+
+impl<'a> QueuedRequest<'a> {
+    fn new(process: &'a Process) -> Self {
+        process.state().queued += 1;
+        QueuedRequest(process)
+    }
+}
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        self.0.state().queued -= 1;
+    }
+}
+
 fn response(status: u16) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
