Keep proxy and controller running at SIGHUP; set handlers before anything else

Callers saw requests cut when an operator sent SIGHUP or a terminal closed: neither lockcroft proxy nor lockcroft serve had a handler, so the signal ended them. crates/signals makes the runtime and sets the handlers of SIGTERM, SIGINT and SIGHUP first, for proxy, serve and platform, which had its own copy. serve reads its endpoint list's file again; where there is nothing to reload a log line says so.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -30,6 +30,11 @@
 
 impl PlatformCommand {
     pub fn run(self) -> ExitCode {
+        // Before anything else: no signal may end the process by default, however early it comes.
+        let (runtime, signals) = match lockcroft_signals::start() {
+            Ok(started) => started,
+            Err(error) => return report(Err(CliError::other(error))),
+        };
         let path = self.config.unwrap_or_default();
         let config = open(&path);
         if self.json {
@@ -45,7 +50,11 @@
         if self.check {
             return ExitCode::SUCCESS;
         }
-        report(serve(&path, config, self.log_levels).map(|()| ExitCode::SUCCESS))
+        if let Err(error) = start_logs(self.log_levels) {
+            return report(Err(error));
+        }
+        let served = io::serve(&path, config, &runtime, signals);
+        report(served.map(|()| ExitCode::SUCCESS).map_err(CliError::other))
     }
 }
 
@@ -56,9 +65,7 @@
     io::open(path).map_err(CliError::other)
 }
 
-fn serve(path: &Path, config: Config, log_levels: String) -> Result<(), CliError> {
-    let log = LogConfig { filter: Some(log_levels), json: false };
-    // Held until the end: dropping it ends the log's writer.
-    let _logging = lockcroft_daemon::start_logs(&log).map_err(CliError::other)?;
-    io::serve(path, config).map_err(CliError::other)
+fn start_logs(levels: String) -> Result<(), CliError> {
+    let log = LogConfig { filter: Some(levels), json: false };
+    lockcroft_daemon::start_logs(&log).map(drop).map_err(CliError::other)
 }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -5,7 +5,10 @@
 
 use lockcroft_config::{ConfigError, ConfigErrors, DaemonConfig};
 use lockcroft_proxy::ProxyConfig;
+use lockcroft_signals::Signals;
 use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
 
 use crate::error::{CliError, report};
 
@@ -14,15 +17,24 @@
 
 /// Runs a controller until SIGTERM.
 pub fn serve(file: &Path) -> ExitCode {
+    let (runtime, signals) = match lockcroft_signals::start() {
+        Ok(started) => started,
+        Err(error) => return report(Err(CliError::other(error))),
+    };
     let config = match open(file, false) {
         Ok(config) => config,
         Err(code) => return code,
     };
-    report(lockcroft_daemon::serve(&config).map(|()| ExitCode::SUCCESS).map_err(CliError::other))
+    let served = lockcroft_daemon::serve(&config, &runtime, signals);
+    report(served.map(|()| ExitCode::SUCCESS).map_err(CliError::other))
 }
 
 /// Runs a proxy until SIGTERM.
 pub fn proxy(file: &Path) -> ExitCode {
+    let (runtime, signals) = match lockcroft_signals::start() {
+        Ok(started) => started,
+        Err(error) => return report(Err(CliError::other(error))),
+    };
     let config = match ProxyConfig::open(file) {
         Ok(config) => config,
         Err(errors) => {
@@ -30,15 +42,13 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    report(run_proxy(config).map(|()| ExitCode::SUCCESS))
+    report(run_proxy(config, &runtime, signals).map(|()| ExitCode::SUCCESS))
 }
 
-fn run_proxy(config: ProxyConfig) -> Result<(), CliError> {
-    // Held until the end: dropping it ends the log's writer.
-    let _logging = lockcroft_daemon::start_logs(&config.log).map_err(CliError::other)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let serving = lockcroft_proxy::serve(config);
-    tokio::task::LocalSet::new().block_on(&runtime, serving).map_err(CliError::other)
+fn run_proxy(config: ProxyConfig, runtime: &Runtime, signals: Signals) -> Result<(), CliError> {
+    lockcroft_daemon::start_logs(&config.log).map_err(CliError::other)?;
+    let serving = lockcroft_proxy::serve(config, signals);
+    LocalSet::new().block_on(runtime, serving).map_err(CliError::other)
 }
 
 /// Checks a controller's configuration without starting anything.
--- a/crates/cli/tests/daemon/main.rs
+++ b/crates/cli/tests/daemon/main.rs
@@ -9,4 +9,5 @@
 mod platform_controller;
 mod platform_races;
 mod platform_testbed;
+mod signals;
 mod sockets;
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -13,9 +13,6 @@
     /// The logs can't be set up.
     #[error(transparent)]
     Logging(#[from] LoggingError),
-    /// There is no asynchronous runtime to be had.
-    #[error("the runtime does not start: {0}")]
-    Runtime(#[source] io::Error),
     /// A socket of the runtime API can't be had.
     #[error("cannot listen on {address}: {source}")]
     Listen {
@@ -30,9 +27,6 @@
     /// The thread that writes table files can't be had.
     #[error("{0}")]
     Thread(#[source] io::Error),
-    /// Signals can't be listened for.
-    #[error("signals: {0}")]
-    Signals(#[source] io::Error),
 }
 
 /// Why a connection could not be made, or broke. The text is the reason that `show proxies` gives.
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -10,7 +10,7 @@
 use lockcroft_config::{DaemonConfig, EndpointListSource};
 use lockcroft_fleet::{Effect, FleetController, SolverTask};
 use lockcroft_runtime_api::{Address, Listener};
-use tokio::signal::unix::{SignalKind, signal};
+use lockcroft_signals::{Received, Signals};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 use tracing::info;
@@ -32,10 +32,10 @@
 const MAX_EVENTS_PER_ROUND: usize = 512;
 
 /// Runs a controller until a signal ends it.
-pub async fn run(config: &DaemonConfig, logging: Logging) -> Result<(), DaemonError> {
+pub async fn run(config: &DaemonConfig, logging: Logging, mut signals: Signals) -> Result<(), DaemonError> {
     let mut event_loop = EventLoop::start(config, logging).await?;
     info!(target: "lockcroft::daemon", name = config.name, proxies = config.proxies.len(), "started");
-    event_loop.run_until_signal().await?;
+    event_loop.run_until_terminated(&mut signals).await;
     info!(target: "lockcroft::daemon", "told to end; proxies keep their tables");
     for listener in &config.listeners {
         if let Address::Unix(path) = &listener.address {
@@ -55,6 +55,8 @@
     sender: EventSender,
     receiver: mpsc::Receiver<Event>,
     connections: Vec<ProxyConnection>,
+    /// Has the endpoint list's file read again, where it is in a file.
+    reread: Option<Rc<Notify>>,
     state_writer: Option<StateWriter>,
     snapshot_publisher: Option<SnapshotPublisher>,
     /// All tasks of the daemon; they end with the event loop.
@@ -76,6 +78,7 @@
             sender,
             receiver,
             connections: Vec::new(),
+            reread: matches!(config.endpoints, EndpointListSource::File(..)).then(|| reread.clone()),
             state_writer: None,
             snapshot_publisher: None,
             tasks: JoinSet::new(),
@@ -153,8 +156,7 @@
         }
     }
 
-    async fn run_until_signal(&mut self) -> Result<(), DaemonError> {
-        let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    async fn run_until_terminated(&mut self, signals: &mut Signals) {
         let mut events = Vec::new();
         loop {
             let due = self.start + self.commands.borrow().fleet.next_due();
@@ -162,8 +164,10 @@
                 _ = self.receiver.recv_many(&mut events, MAX_EVENTS_PER_ROUND) => {}
                 () = tokio::time::sleep_until(due.into()) => {}
                 () = self.wake.notified() => {}
-                _ = terminate.recv() => return Ok(()),
-                _ = tokio::signal::ctrl_c() => return Ok(()),
+                received = signals.next() => match received {
+                    Received::Terminate => return,
+                    Received::Hangup => self.reload(),
+                }
             }
             for effect in self.decide(&mut events) {
                 self.carry_out(effect);
@@ -175,6 +179,19 @@
         }
     }
 
+    /// Reads the endpoint list again, the only file that may change while the controller runs.
+    fn reload(&self) {
+        match &self.reread {
+            Some(reread) => {
+                info!(target: "lockcroft::daemon", "SIGHUP: the endpoint list is read again");
+                reread.notify_one();
+            }
+            None => {
+                info!(target: "lockcroft::daemon", "SIGHUP: nothing to reload, the endpoint list is in the settings")
+            }
+        }
+    }
+
     fn decide(&self, events: &mut Vec<Event>) -> Vec<Effect> {
         let fleet = &mut self.commands.borrow_mut().fleet;
         for event in events.drain(..) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,8 @@
 mod state_writer;
 
 use lockcroft_config::DaemonConfig;
+use lockcroft_signals::Signals;
+use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 use tracing::warn;
 
@@ -29,11 +31,9 @@
 ///
 /// # Errors
 /// A socket, a thread or the keys of table files can't be had, or the logs can't be set up.
-pub fn serve(config: &DaemonConfig) -> Result<(), DaemonError> {
+pub fn serve(config: &DaemonConfig, runtime: &Runtime, signals: Signals) -> Result<(), DaemonError> {
     let logging = logging::start(&config.log)?;
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(DaemonError::Runtime)?;
-    LocalSet::new().block_on(&runtime, event_loop::run(config, logging))
+    LocalSet::new().block_on(runtime, event_loop::run(config, logging, signals))
 }
 
 /// Warns of something that concerns people rather than decisions.
--- a/crates/platform/src/io/error.rs
+++ b/crates/platform/src/io/error.rs
@@ -32,12 +32,6 @@
 /// Why the controller can't serve.
 #[derive(Debug, Error)]
 pub enum ServeError {
-    /// The runtime of the tasks does not start.
-    #[error("the runtime does not start: {0}")]
-    Runtime(#[source] io::Error),
-    /// Handlers of signals can't be set.
-    #[error("signals: {0}")]
-    Signals(#[source] io::Error),
     /// The address to listen on can't be had.
     #[error("cannot listen on {address}: {source}")]
     Listen {
--- a/crates/platform/src/io/mod.rs
+++ b/crates/platform/src/io/mod.rs
@@ -9,30 +9,26 @@
 mod listener;
 mod reload;
 mod shared;
-mod signals;
 mod tick_loop;
 
 use std::path::Path;
 
+use lockcroft_signals::Signals;
+use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 
 use crate::config::Config;
 
 pub use self::error::{ConfigFileError, ServeError};
 pub use self::reload::open;
-use self::signals::Signals;
 
 /// Runs the controller until SIGTERM; proxies keep their tables then. SIGHUP reads the file at `path` again.
 ///
 /// # Errors
-/// The runtime, the signals or the listener's address can't be had.
-pub fn serve(path: &Path, config: Config) -> Result<(), ServeError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(ServeError::Runtime)?;
+/// The listener's address can't be had.
+pub fn serve(path: &Path, config: Config, runtime: &Runtime, mut signals: Signals) -> Result<(), ServeError> {
     let tasks = LocalSet::new();
-    tasks.block_on(&runtime, async {
-        // Before anything else: neither signal may end the process by default, however early it comes.
-        let mut signals = Signals::new()?;
+    tasks.block_on(runtime, async {
         let listener = tokio::select! {
             listener = listener::bind(&config) => listener?,
             () = signals.terminated() => return Ok(()),
--- a/crates/platform/src/io/tick_loop.rs
+++ b/crates/platform/src/io/tick_loop.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use lockcroft_signals::{Received, Signals};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -12,7 +13,6 @@
 use tracing::{info, warn};
 
 use super::shared::{Shared, unix_ms};
-use super::signals::{Received, Signals};
 use super::{discovery, listener, reload};
 use crate::config::Config;
 
--- a/crates/proxy/src/io/server.rs
+++ b/crates/proxy/src/io/server.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use lockcroft_runtime_api::{Address, Listener};
+use lockcroft_signals::{Received, Signals};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::worker::Worker;
@@ -77,16 +77,14 @@
 /// Runs a proxy until SIGTERM or SIGINT.
 ///
 /// # Errors
-/// As [`Proxy::start`], or signals can't be received.
-pub async fn serve(config: ProxyConfig) -> io::Result<()> {
+/// As [`Proxy::start`].
+pub async fn serve(config: ProxyConfig, mut signals: Signals) -> io::Result<()> {
     let control_addresses = config.control_addresses.clone();
     let name = config.name.clone();
     let _proxy = Proxy::start(config).await?;
     tracing::info!(target: "lockcroft::proxy", name, "started");
-    let mut terminate = signal(SignalKind::terminate())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
+    while signals.next().await == Received::Hangup {
+        tracing::info!(target: "lockcroft::proxy", "SIGHUP: nothing to reload, tables come from controllers");
     }
     for address in control_addresses {
         if let Address::Unix(path) = address {
