Answer what is in flight at a proxy before SIGTERM ends it

Callers saw a closed connection and no answer: three of three requests on a slow endpoint were cut, as serve returned at the signal and dropped the proxy with all its connections. A proxy drains now: the listener's queue is taken in, requests in flight and those that still come on open connections are answered with Connection: close, connections without a request are closed after 0.25 s.

--- a/crates/cli/tests/daemon/signals.rs
+++ b/crates/cli/tests/daemon/signals.rs
@@ -118,6 +118,44 @@
     }
 }
 
+fn response(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Guards against requests that are cut when a proxy is told to end.
+#[test]
+fn sigterm_lets_a_proxy_answer_what_is_in_flight() {
+    let fixture = ProxyFixture::new(endpoint(Duration::from_millis(600)));
+    let mut proxy = fixture.started();
+    let mut streams = [fixture.begin_request(), fixture.begin_request(), fixture.begin_request()];
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal(Signal::TERM);
+    for stream in &mut streams {
+        assert!(response(stream).starts_with("HTTP/1.1 200"), "{}", fixture.log());
+    }
+    assert_eq!(proxy.exit_status().code(), Some(0));
+    assert!(TcpStream::connect(fixture.address).is_err());
+}
+
+/// Guards against a drain that can't be ended, and against requests that are cut without a word.
+#[test]
+fn a_second_sigterm_ends_a_proxy_at_once_and_says_what_was_cut() {
+    let fixture = ProxyFixture::new(endpoint(Duration::from_secs(20)));
+    let mut proxy = fixture.started();
+    let _streams = [fixture.begin_request(), fixture.begin_request()];
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(600));
+    assert!(!proxy.has_ended(), "{}", fixture.log());
+    proxy.signal(Signal::TERM);
+    let signalled_at = Instant::now();
+    assert_eq!(proxy.exit_status().code(), Some(0));
+    assert!(signalled_at.elapsed() < Duration::from_secs(1));
+    assert!(fixture.log().contains("cut_connections=2"), "{}", fixture.log());
+}
+
 /// Guards against a closed terminal, or an operator's SIGHUP, ending a proxy.
 #[test]
 fn sighup_leaves_a_proxy_running() {
--- a/crates/proxy/src/io/client_stream.rs
+++ b/crates/proxy/src/io/client_stream.rs
@@ -2,6 +2,7 @@
 //! that the client has gone: the end of input alone may come from one that only closed its sending side.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -25,6 +26,11 @@
         // A socket that can't be waited for any more is as good as reset.
         let _ = self.0.ready(Interest::ERROR).await;
     }
+
+    /// Whether bytes have come that were not read yet.
+    pub fn has_unread(&self) -> bool {
+        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
+    }
 }
 
 impl AsyncRead for ClientStream {
--- a/crates/proxy/src/io/clients.rs
+++ b/crates/proxy/src/io/clients.rs
@@ -1,5 +1,7 @@
-//! Client connections: accepts them and serves HTTP/1.1 on them.
+//! Client connections: accepts them, serves HTTP/1.1 on them, and drains them when the proxy is to end.
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +9,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use super::client_stream::ClientStream;
 use super::forward::forward;
@@ -18,38 +21,86 @@
 /// Pause after a failed accept, as when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// Accepts client connections until dropped. The tasks of accepted connections end with the worker.
+/// How long a connection without a request stays open once the proxy drains: a request that is on its way is
+/// answered then, and does not meet a closed connection.
+const IDLE_DRAIN_DELAY: Duration = Duration::from_millis(250);
+
+/// How often a connection within the head of a request is looked at while the proxy drains.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Accepts client connections until the proxy drains, and ends once the last of them has. Dropping it ends
+/// them all.
 pub async fn accept_connections(listener: TcpListener, worker: Rc<Worker>) {
+    let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = worker.draining() => break,
         };
-        if worker.clients.get() >= worker.config.max_clients {
-            continue;
+        match accepted {
+            Ok((stream, _)) => start_connection(stream, &worker, &mut connections),
+            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+        }
+        while connections.try_join_next().is_some() {}
+    }
+    accept_queued(listener, &worker, &mut connections);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Accepts what is in the listener's queue already, and may have been sent requests, then closes the listener.
+fn accept_queued(listener: TcpListener, worker: &Rc<Worker>, connections: &mut JoinSet<()>) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let Ok(()) = stream.set_nonblocking(true) else { continue };
+        if let Ok(stream) = TcpStream::from_std(stream) {
+            start_connection(stream, worker, connections);
         }
-        // Without it responses are only slower.
-        let _ = stream.set_nodelay(true);
-        let client = CountGuard::new(&worker.clients);
-        let worker = worker.clone();
-        spawn_local(async move {
-            serve_connection(stream, &worker).await;
-            drop(client);
-        });
     }
 }
 
+fn start_connection(stream: TcpStream, worker: &Rc<Worker>, connections: &mut JoinSet<()>) {
+    if worker.clients.get() >= worker.config.max_clients {
+        return;
+    }
+    // Without it responses are only slower.
+    let _ = stream.set_nodelay(true);
+    let client = CountGuard::new(&worker.clients);
+    let worker = worker.clone();
+    connections.spawn_local(async move {
+        serve_connection(stream, &worker).await;
+        drop(client);
+    });
+}
+
 async fn serve_connection(stream: TcpStream, worker: &Rc<Worker>) {
+    let stream = ClientStream::new(stream);
+    let between_requests = Rc::new(Cell::new(true));
+    let validated = RequestValidator::new(stream.clone(), between_requests.clone());
     let service = service_fn(|request| forward(request, worker.clone()));
     let mut http = http1::Builder::new();
     // Who has closed the sending side only still waits for the response.
     http.half_close(true).timer(TokioTimer::new()).header_read_timeout(worker.config.header_timeout);
-    let stream = ClientStream::new(stream);
-    let serving = http.serve_connection(TokioIo::new(RequestValidator::new(stream.clone())), service);
+    let mut serving = pin!(http.serve_connection(TokioIo::new(validated), service));
+    let mut reset = pin!(stream.reset());
     tokio::select! {
         // An error concerns this client alone: it broke off, or was cut off.
+        _ = &mut serving => return,
+        () = &mut reset => return,
+        () = drained(worker, &stream, &between_requests) => {}
+    }
+    // A request that is being answered is finished first.
+    serving.as_mut().graceful_shutdown();
+    tokio::select! {
         _ = serving => {}
-        () = stream.reset() => {}
-        () = worker.stopped() => {}
+        () = reset => {}
+    }
+}
+
+/// Waits until the proxy drains and nothing of a further request has come.
+async fn drained(worker: &Worker, stream: &ClientStream, between_requests: &Cell<bool>) {
+    worker.draining().await;
+    sleep(IDLE_DRAIN_DELAY).await;
+    while stream.has_unread() || !between_requests.get() {
+        sleep(IDLE_POLL_INTERVAL).await;
     }
 }
--- a/crates/proxy/src/io/forward.rs
+++ b/crates/proxy/src/io/forward.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
@@ -35,12 +35,21 @@
 /// # Errors
 /// None; the type is the HTTP library's.
 pub async fn forward(request: Request<Incoming>, worker: Rc<Worker>) -> Result<Response<Body>, hyper::Error> {
+    let mut response = route(request, &worker).await;
+    if worker.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+/// Routes a request by its class, and logs how it ended.
+async fn route(request: Request<Incoming>, worker: &Worker) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let Some(head) = request_head(head, &worker) else {
-        return Ok(status_response(StatusCode::NOT_FOUND));
+    let Some(head) = request_head(head, worker) else {
+        return status_response(StatusCode::NOT_FOUND);
     };
     let started_at = worker.now();
-    let FinalResponse { response, attempts } = respond(&head, body, &worker).await;
+    let FinalResponse { response, attempts } = respond(&head, body, worker).await;
     tracing::debug!(
         target: "lockcroft::request",
         request = head.id,
@@ -50,7 +59,7 @@
         duration_us = (worker.now() - started_at).as_micros() as u64,
         "ended"
     );
-    Ok(response)
+    response
 }
 
 /// The request with its class, the first part of its path; `None` if there is no such class.
--- a/crates/proxy/src/io/mod.rs
+++ b/crates/proxy/src/io/mod.rs
@@ -18,4 +18,4 @@
 mod table_files;
 mod worker;
 
-pub use server::{Proxy, serve};
+pub use server::{DRAIN_TIMEOUT, Proxy, serve};
--- a/crates/proxy/src/io/request_validator.rs
+++ b/crates/proxy/src/io/request_validator.rs
@@ -1,7 +1,9 @@
 //! A client's connection, validated before the HTTP library reads it.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -18,11 +20,18 @@
     framing: FramingValidator,
     /// Once a request was refused: how much of the response is written.
     refusal_written: Option<usize>,
+    /// Whether the last request is read as a whole, and nothing of the next.
+    between_requests: Rc<Cell<bool>>,
 }
 
 impl RequestValidator {
-    pub fn new(stream: ClientStream) -> Self {
-        RequestValidator { stream, framing: FramingValidator::default(), refusal_written: None }
+    pub fn new(stream: ClientStream, between_requests: Rc<Cell<bool>>) -> Self {
+        RequestValidator {
+            stream,
+            framing: FramingValidator::default(),
+            refusal_written: None,
+            between_requests,
+        }
     }
 
     fn poll_write_refusal(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -49,8 +58,10 @@
             // None of these bytes may reach the HTTP library.
             buffer.set_filled(before);
             self.refusal_written = Some(0);
+            self.between_requests.set(true);
             return self.poll_write_refusal(context);
         }
+        self.between_requests.set(self.framing.is_between_requests());
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/proxy/src/io/worker.rs
+++ b/crates/proxy/src/io/worker.rs
@@ -30,7 +30,17 @@
     /// Requests that wait for capacity.
     pub queued_requests: Rc<Cell<usize>>,
     pub clients: Rc<Cell<usize>>,
-    stopped: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
+}
+
+/// What becomes of client connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Running,
+    /// No new ones are accepted, and those that are open end with their next response.
+    Draining,
+    /// All end at once, control connections too.
+    Stopped,
 }
 
 impl Worker {
@@ -48,7 +58,7 @@
             queued_requests: state.queued_requests.clone(),
             clients: Rc::default(),
             state: RefCell::new(state),
-            stopped: watch::Sender::new(false),
+            phase: watch::Sender::new(Phase::Running),
             config,
         }
     }
@@ -63,15 +73,33 @@
         self.started_at.elapsed()
     }
 
+    /// Has client connections end with what they are at.
+    pub fn drain(&self) {
+        self.phase.send_modify(|phase| *phase = Phase::Draining.max(*phase));
+    }
+
+    pub fn is_draining(&self) -> bool {
+        *self.phase.borrow() >= Phase::Draining
+    }
+
+    /// Waits until the proxy drains or is stopped.
+    pub async fn draining(&self) {
+        self.reached(Phase::Draining).await;
+    }
+
     /// Ends all connections.
     pub fn stop(&self) {
-        self.stopped.send_replace(true);
+        self.phase.send_replace(Phase::Stopped);
     }
 
     /// Waits until the proxy is stopped.
     pub async fn stopped(&self) {
+        self.reached(Phase::Stopped).await;
+    }
+
+    async fn reached(&self, wanted: Phase) {
         // The sender lives as long as this, so waiting can't fail.
-        let _ = self.stopped.subscribe().wait_for(|stopped| *stopped).await;
+        let _ = self.phase.subscribe().wait_for(|phase| *phase >= wanted).await;
     }
 
     /// Carries out a line of commands. Requests have their turn between its steps; other lines that change
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,7 +23,7 @@
 pub use commands::{CommandError, MAX_BACKENDS, changes_state};
 pub use config::{ProxyConfig, SCHEMA, TableFilesConfig};
 pub use framing_validator::{FramingError, FramingValidator};
-pub use io::{Proxy, serve};
+pub use io::{DRAIN_TIMEOUT, Proxy, serve};
 pub use retry_budget::RetryBudget;
 pub use routing::{
     Backend, Choice, ChosenEndpoint, DEFAULT_TABLE, Frontend, LoadBalancingLimits, MAX_WEIGHT, RoutingState,
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 mod abandonment;
+mod shutdown;
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const REJECTED_UNREAD: &str = "HTTP/1.1 503 Busy\r\nx-unread: 1\r\ncontent-length: 0\r\n\r\n";
