Send what is owed longest first to proxies that come with stale tables

Traces tell the causes apart: the controller decides and writes within 20 ms, the channel is full for 3.5 s, and its order is wrong. Tables went by requests a second, ejections came behind tables that may wait, a table that found the queue full let shorter updates pass that were owed later, and tables reserved a restore for every entry.

--- a/crates/fleet/src/sessions.rs
+++ b/crates/fleet/src/sessions.rs
@@ -156,7 +156,7 @@
             self.to_update.insert(proxy);
         }
         let (zone, request_rate) = (session.config.zone, session.config.request_rate);
-        self.controller.attach_proxy(proxy, zone, request_rate, has_no_table);
+        self.controller.attach_proxy(now, proxy, zone, request_rate, has_no_table);
     }
 
     pub(crate) fn expire_timers(&mut self, now: Duration) {
--- a/crates/platform/src/control_plane/messages.rs
+++ b/crates/platform/src/control_plane/messages.rs
@@ -32,7 +32,7 @@
             MessageContext { names: &self.names, endpoints: &self.endpoints, limits: &self.report_limits };
         match parse_message(line, &context) {
             Ok(InboundMessage::Heartbeat) => self.answer_heartbeat(connection),
-            Ok(message) if role == Role::Unattached => self.attach(connection, message),
+            Ok(message) if role == Role::Unattached => self.attach(now, connection, message),
             Ok(message) => self.handle_report(now, connection, role, message),
             Err(error) => self.handle_invalid_message(connection, role, &error),
         }
@@ -43,10 +43,10 @@
     }
 
     /// The first message of a connection, heartbeats aside.
-    fn attach(&mut self, connection: ConnectionId, message: InboundMessage) {
+    fn attach(&mut self, now: Duration, connection: ConnectionId, message: InboundMessage) {
         match message {
             InboundMessage::CollectorAttach { zone } => self.attach_collector(connection, zone),
-            InboundMessage::ProxyAttach(proxy) => self.attach_proxy(connection, &proxy),
+            InboundMessage::ProxyAttach(proxy) => self.attach_proxy(now, connection, &proxy),
             _ => self.reject(connection, "reports come after a joining"),
         }
     }
--- a/crates/platform/src/control_plane/sessions.rs
+++ b/crates/platform/src/control_plane/sessions.rs
@@ -79,7 +79,7 @@
     }
 
     /// Attaches a proxy. Its new stream may come before the old one is seen to end, whose end then detaches nobody.
-    pub(super) fn attach_proxy(&mut self, connection: ConnectionId, attach: &ProxyAttach) {
+    pub(super) fn attach_proxy(&mut self, now: Duration, connection: ConnectionId, attach: &ProxyAttach) {
         let ProxyAttach { proxy, zone, request_rate, without_table } = *attach;
         let replaces = self.streams.get(&proxy).map(|stream| stream.connection);
         if let Some(old_connection) = replaces {
@@ -92,7 +92,7 @@
         self.roles.insert(connection, Role::Proxy(proxy));
         self.admission.attached(connection);
         self.streams.insert(proxy, ProxyStream::new(connection, without_table));
-        self.controller.attach_proxy(proxy, zone, request_rate, without_table);
+        self.controller.attach_proxy(now, proxy, zone, request_rate, without_table);
     }
 
     fn abort(&mut self, connection: ConnectionId) {
--- a/crates/platform/tests/controller/channel.rs
+++ b/crates/platform/tests/controller/channel.rs
@@ -1,6 +1,6 @@
 //! What waits in the platform's channel behind the streams, and what acknowledged nonces say of it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use lockcroft::HealthCheckOutcome;
@@ -25,6 +25,8 @@
 
 /// A message that is still to be sent to its proxy.
 struct QueuedMessage {
+    connection: ConnectionId,
+    replaces_table: bool,
     remaining_entries: f64,
     /// The nonce that the message carries, and on which connection.
     nonce: Option<(ConnectionId, u64)>,
@@ -43,12 +45,15 @@
     queue: VecDeque<QueuedMessage>,
     acknowledgements: VecDeque<DueAcknowledgement>,
     max_queued_entries: usize,
+    /// When each proxy's first table has left the channel.
+    table_sent_at: BTreeMap<ConnectionId, Duration>,
 }
 
 impl Channel {
     fn new(entries_per_second: f64) -> Self {
         let (queue, acknowledgements) = (VecDeque::new(), VecDeque::new());
-        Channel { entries_per_second, queue, acknowledgements, max_queued_entries: 0 }
+        let table_sent_at = BTreeMap::new();
+        Channel { entries_per_second, queue, acknowledgements, max_queued_entries: 0, table_sent_at }
     }
 
     fn accept(&mut self, connection: ConnectionId, text: &str) {
@@ -56,14 +61,17 @@
         let count = |part: &Value, name: &str| part[name].as_array().map_or(0, Vec::len);
         let mut entries = MESSAGE_OVERHEAD_ENTRIES;
         let mut nonce = None;
+        let mut replaces_table = false;
         for part in parts {
+            replaces_table |= part["full"] == true;
             entries += count(&part, "endpoints") + count(&part, "eject") + count(&part, "restore");
             entries += usize::from(part["full"] == true);
             entries += if part["admit"].is_number() { count(&part, "routes").max(1) } else { 0 };
             nonce = part["nonce_out"].as_u64().map(|nonce| (connection, nonce));
             entries += usize::from(nonce.is_some());
         }
-        self.queue.push_back(QueuedMessage { remaining_entries: entries as f64, nonce });
+        let remaining_entries = entries as f64;
+        self.queue.push_back(QueuedMessage { connection, replaces_table, remaining_entries, nonce });
         let queued: f64 = self.queue.iter().map(|message| message.remaining_entries).sum();
         self.max_queued_entries = self.max_queued_entries.max(queued as usize);
     }
@@ -81,6 +89,9 @@
             let acknowledgement =
                 message.nonce.map(|(connection, nonce)| DueAcknowledgement { due_at, connection, nonce });
             self.acknowledgements.extend(acknowledgement);
+            if message.replaces_table {
+                self.table_sent_at.entry(message.connection).or_insert(now);
+            }
             self.queue.pop_front();
         }
     }
@@ -99,6 +110,9 @@
     now: Duration,
     removals_reported: bool,
     attached: usize,
+    /// The requests a second that each proxy states.
+    request_rates: fn(usize) -> f64,
+    attached_at: Vec<Duration>,
     /// When each proxy was written its first table.
     table_written_at: Vec<Option<Duration>>,
 }
@@ -108,10 +122,12 @@
     max_queued_entries: usize,
     /// From the first attachment until the last proxy was written its table.
     last_table_after: Duration,
+    /// The longest time from an attachment until that proxy's table had left the channel.
+    longest_wait: Duration,
 }
 
 impl Release {
-    fn new(entries_per_second: f64, proxies: usize) -> Self {
+    fn new(entries_per_second: f64, proxies: usize, request_rates: fn(usize) -> f64) -> Self {
         let mut settings = config();
         for (name, value) in [
             ("agents", 500.0),
@@ -134,12 +150,14 @@
             now: Duration::ZERO,
             removals_reported: false,
             attached: 0,
+            request_rates,
+            attached_at: Vec::new(),
             table_written_at: vec![None; proxies],
         }
     }
 
     fn run(mut self, attachment_interval: Duration) -> ReleaseResult {
-        while self.now < END_AT && self.table_written_at.iter().any(Option::is_none) {
+        while self.now < END_AT && self.channel.table_sent_at.len() < self.table_written_at.len() {
             self.now += STEP;
             self.channel.run(self.now, STEP);
             self.acknowledge();
@@ -152,9 +170,17 @@
         ReleaseResult {
             max_queued_entries: self.channel.max_queued_entries,
             last_table_after: last - FIRST_ATTACHMENT_AT,
+            longest_wait: self.longest_wait(),
         }
     }
 
+    fn longest_wait(&self) -> Duration {
+        let sent_at = |connection| self.channel.table_sent_at.get(&connection).copied().unwrap_or(END_AT);
+        let attached = self.attached_at.iter().enumerate();
+        let waits = attached.map(|(index, attached_at)| sent_at(index as ConnectionId) - *attached_at);
+        waits.max().unwrap_or_default()
+    }
+
     fn acknowledge(&mut self) {
         while let Some(acknowledgement) = self.channel.next_acknowledgement(self.now) {
             let DueAcknowledgement { connection, nonce, .. } = acknowledgement;
@@ -178,8 +204,11 @@
             && FIRST_ATTACHMENT_AT + interval * self.attached as u32 <= self.now
         {
             let connection = self.attached as ConnectionId;
-            let line =
-                json!({"t": "attach", "node": self.attached, "locality": "a", "w": 5.0, "cold": false});
+            let request_rate = (self.request_rates)(self.attached);
+            let line = json!(
+                {"t": "attach", "node": self.attached, "locality": "a", "w": request_rate, "cold": false}
+            );
+            self.attached_at.push(self.now);
             self.control_plane.connection_accepted(self.now, connection);
             self.control_plane.line_received(self.now, connection, line.to_string().as_bytes());
             self.attached += 1;
@@ -213,19 +242,31 @@
 }
 
 fn release(entries_per_second: f64, proxies: usize, attachment_interval_us: u64) -> ReleaseResult {
-    Release::new(entries_per_second, proxies).run(Duration::from_micros(attachment_interval_us))
+    let release = Release::new(entries_per_second, proxies, |_| 5.0);
+    release.run(Duration::from_micros(attachment_interval_us))
 }
 
 /// The entries that restore what other controllers have ejected count for the channel too, and a channel that is as
 /// fast as stated must not be taken for a slower one.
 #[test]
 fn attachments_during_a_release_keep_the_queue_limit_and_get_tables_at_the_channel_rate() {
-    let ReleaseResult { max_queued_entries, last_table_after } = release(STATED_RATE, 250, 1000);
+    let ReleaseResult { max_queued_entries, last_table_after, .. } = release(STATED_RATE, 250, 1000);
     assert!(max_queued_entries <= MAX_QUEUED_ENTRIES, "{max_queued_entries} entries waited");
     let limit = Duration::from_secs(3);
     assert!(last_table_after <= limit, "the last table was written after {last_table_after:?}");
 }
 
+/// Guards against a proxy that sends to removed endpoints past the grace, as others with more requests that attached
+/// after it got their tables first.
+#[test]
+fn proxies_that_attached_first_are_the_first_to_leave_removed_endpoints() {
+    let release = Release::new(STATED_RATE, 480, |index| 1.0 + index as f64);
+    let result = release.run(Duration::from_millis(2));
+    assert!(result.max_queued_entries <= MAX_QUEUED_ENTRIES);
+    // All tables take the channel 4.5 s, and the last proxy attaches a second after the first.
+    assert!(result.longest_wait <= Duration::from_millis(3800), "{:?}", result.longest_wait);
+}
+
 #[test]
 fn a_channel_far_slower_than_stated_is_not_filled_beyond_its_limit() {
     for slower in [1.0, 4.0, 8.0] {
--- a/crates/sim-adapter/src/adapter.rs
+++ b/crates/sim-adapter/src/adapter.rs
@@ -93,7 +93,7 @@
             EventKind::AttemptReport => instance.attempt_report(clock, event)?,
             EventKind::RequestReport => instance.request_report(event)?,
             EventKind::HealthCheckResult => instance.health_check_result(clock, event)?,
-            EventKind::ProxyAttached => instance.proxy_attached(event)?,
+            EventKind::ProxyAttached => instance.proxy_attached(clock, event)?,
             EventKind::ProxyDetached => instance.proxy_detached(event)?,
             EventKind::TimerDue => instance.timer_due(clock, event)?,
             // Nonces are never sent, peers never written to, and key ranges never taken.
--- a/crates/sim-adapter/src/instance.rs
+++ b/crates/sim-adapter/src/instance.rs
@@ -110,12 +110,13 @@
     }
 
     /// A proxy attached.
-    pub fn proxy_attached(&mut self, event: &mut EventReader) -> Result<(), EventError> {
+    pub fn proxy_attached(&mut self, clock: Duration, event: &mut EventReader) -> Result<(), EventError> {
         let without_table = event.flag("fresh")?;
         let proxy = event.number("proxy")?;
         let request_rate = event.amount("rate")?;
         let zone = self.names.zone(event.word("zone")?)?;
-        self.guard(|controller| controller.attach_proxy(proxy, zone, request_rate, without_table));
+        let now = self.now(clock);
+        self.guard(|controller| controller.attach_proxy(now, proxy, zone, request_rate, without_table));
         Ok(())
     }
 
--- a/src/controller/applying.rs
+++ b/src/controller/applying.rs
@@ -7,13 +7,13 @@
 use crate::load_shedding::ClassAdmission;
 use crate::proxies::Recipients;
 use crate::publish::{PendingUpdate, Priority, Update};
-use crate::rate_limit::Reservation;
+use crate::rate_limit::{NoCapacity, Reservation};
 use crate::{Action, ClassId, EndpointId, ProxyId, TableId};
 
 impl Controller {
     /// The action for an update, if the channel has capacity for it.
-    pub(super) fn apply(&mut self, now: Duration, pending: PendingUpdate) -> Option<Action> {
-        let PendingUpdate { priority, update } = pending;
+    pub(super) fn apply(&mut self, now: Duration, pending: PendingUpdate) -> Result<Action, NoCapacity> {
+        let PendingUpdate { priority, update, .. } = pending;
         match update {
             Update::Eject(endpoint) => self.apply_ejection(now, priority, endpoint),
             Update::Restore(endpoint) => self.apply_restoration(now, priority, endpoint),
@@ -25,28 +25,30 @@
         }
     }
 
-    #[must_use]
     fn try_reserve(
         &mut self,
         now: Duration,
         priority: Priority,
         entries: usize,
         recipients: Recipients,
-    ) -> bool {
+    ) -> Result<(), NoCapacity> {
         let reservation = Reservation { entries, recipients, priority };
         self.channel.try_reserve(&mut self.proxies, &self.settings.fleet, now, reservation)
     }
 
-    fn apply_ejection(&mut self, now: Duration, priority: Priority, endpoint: EndpointId) -> Option<Action> {
+    fn apply_ejection(
+        &mut self,
+        now: Duration,
+        priority: Priority,
+        endpoint: EndpointId,
+    ) -> Result<Action, NoCapacity> {
         let attached_after = self.endpoints[&endpoint].ejected_up_to_generation;
         let untold = Recipients::OnFewerTables { than: self.layout.tables_per_subset, attached_after };
-        if !self.try_reserve(now, priority, 1, untold) {
-            return None;
-        }
-        let state = self.endpoints.get_mut(&endpoint)?;
+        self.try_reserve(now, priority, 1, untold)?;
+        let state = self.endpoints.get_mut(&endpoint).ok_or(NoCapacity::ForThis)?;
         state.ejected = true;
         state.ejected_up_to_generation = self.proxies.latest_generation();
-        Some(Action::Eject { endpoint })
+        Ok(Action::Eject { endpoint })
     }
 
     fn apply_restoration(
@@ -54,14 +56,12 @@
         now: Duration,
         priority: Priority,
         endpoint: EndpointId,
-    ) -> Option<Action> {
-        if !self.try_reserve(now, priority, 1, Recipients::ALL) {
-            return None;
-        }
-        let state = self.endpoints.get_mut(&endpoint)?;
+    ) -> Result<Action, NoCapacity> {
+        self.try_reserve(now, priority, 1, Recipients::ALL)?;
+        let state = self.endpoints.get_mut(&endpoint).ok_or(NoCapacity::ForThis)?;
         state.ejected = false;
         state.ejected_up_to_generation = 0;
-        Some(Action::Restore { endpoint })
+        Ok(Action::Restore { endpoint })
     }
 
     fn apply_weight(
@@ -70,13 +70,11 @@
         priority: Priority,
         table: TableId,
         endpoint: EndpointId,
-    ) -> Option<Action> {
-        if !self.try_reserve(now, priority, 1, Recipients::OnTable(table)) {
-            return None;
-        }
+    ) -> Result<Action, NoCapacity> {
+        self.try_reserve(now, priority, 1, Recipients::OnTable(table))?;
         let weight = self.tables[table].desired_weight(endpoint);
         self.tables[table].published.insert(endpoint, weight);
-        Some(Action::SetWeight { table, endpoint, weight })
+        Ok(Action::SetWeight { table, endpoint, weight })
     }
 
     fn apply_admission(
@@ -85,11 +83,9 @@
         priority: Priority,
         admission: usize,
         fraction: f64,
-    ) -> Option<Action> {
+    ) -> Result<Action, NoCapacity> {
         let ClassAdmission { table, class, .. } = self.admissions[admission];
-        if !self.try_reserve(now, priority, 1, Recipients::OnTable(table)) {
-            return None;
-        }
+        self.try_reserve(now, priority, 1, Recipients::OnTable(table))?;
         let latency_ratio = self.tables[table].latency_ratio;
         let admission = &mut self.admissions[admission];
         if admission.published.replace(fraction).is_some_and(|before| before != fraction) {
@@ -98,7 +94,7 @@
             let text = format!("{name}: {percent:.0}% in, late by {latency_ratio:.1} contract times");
             self.raise_event(None, text);
         }
-        Some(Action::SetAdmission { table, class, fraction, retry: fraction >= 1.0 })
+        Ok(Action::SetAdmission { table, class, fraction, retry: fraction >= 1.0 })
     }
 
     fn apply_assignment(
@@ -107,26 +103,31 @@
         priority: Priority,
         table: TableId,
         proxy: ProxyId,
-    ) -> Option<Action> {
+    ) -> Result<Action, NoCapacity> {
         let entries = self.tables[table].published_entries();
         if entries == 0 {
-            return None;
+            return Err(NoCapacity::ForThis);
         }
         let classes: Vec<ClassId> = self.admissions_at(table).map(|admission| admission.class).collect();
         let has_no_table = self.proxies.get(proxy).is_some_and(|state| state.has_no_table);
         // Ejections that the proxy keeps from an earlier controller are ended with the entry that restores
         // the endpoint.
         let keeps_ejections = !has_no_table && self.settings.fleet.keeps_ejections;
-        let restorations = if keeps_ejections { entries } else { 0 };
+        let restorations = if keeps_ejections { self.changed_entries(table) } else { 0 };
         let cost = 1 + classes.len() + entries + restorations;
-        if !self.try_reserve(now, priority, cost, Recipients::Proxy(proxy)) {
-            return None;
-        }
+        self.try_reserve(now, priority, cost, Recipients::Proxy(proxy))?;
         self.proxies.assign(proxy, table);
         if !has_no_table && self.proxies_eject() {
             self.mark_unstable(now, self.tables[table].subset);
         }
-        Some(Action::AssignTable { table, classes, proxy })
+        Ok(Action::AssignTable { table, classes, proxy })
+    }
+
+    /// How many entries of a table are of endpoints that some controller may have ejected.
+    fn changed_entries(&self, table: TableId) -> usize {
+        let published = self.tables[table].published.iter().filter(|(_, weight)| **weight > 0.0);
+        let endpoints = published.filter_map(|(endpoint, _)| self.endpoints.get(endpoint));
+        endpoints.filter(|state| state.changed_at.is_some()).count()
     }
 
     /// Whether proxies eject endpoints on their own.
--- a/src/controller/inputs.rs
+++ b/src/controller/inputs.rs
@@ -25,7 +25,7 @@
         self.list_is_not_first |= self.endpoints.is_empty() && version > 0;
         self.plan_is_stale = true;
         if full && self.removal_binds() {
-            self.remove_unlisted(records);
+            self.remove_unlisted(now, records);
         }
         if self.tables.is_empty() && !records.is_empty() {
             self.lay_out(records.len());
@@ -41,9 +41,12 @@
         !self.settings.rules.only_draining_binds
     }
 
-    fn remove_unlisted(&mut self, records: &[EndpointRecord]) {
+    fn remove_unlisted(&mut self, now: Duration, records: &[EndpointRecord]) {
         let listed: BTreeSet<EndpointId> = records.iter().map(|record| record.endpoint).collect();
         for (_, state) in self.endpoints.iter_mut().filter(|(endpoint, _)| !listed.contains(endpoint)) {
+            if !state.is_not_ready() {
+                state.changed_at = Some(now);
+            }
             state.record.status = EndpointStatus::Removed;
         }
     }
@@ -75,9 +78,13 @@
         let allowed = self.settings.health_checks_allowed;
         let window = self.settings.rules.slow_start_window;
         let Some(state) = self.endpoints.get_mut(&record.endpoint) else { return };
-        let was_out = state.check.is_new() || state.is_not_ready();
+        let was_not_ready = state.is_not_ready();
+        let was_out = state.check.is_new() || was_not_ready;
         state.record = *record;
         let started = state.record_start(now, record.age.unwrap_or(window), window);
+        if started || state.is_not_ready() && !was_not_ready {
+            state.changed_at = Some(now);
+        }
         if started || was_out && !state.is_not_ready() {
             // A new process has a health of its own. Where health checks are not allowed, all have passed
             // them.
@@ -134,9 +141,16 @@
 impl Controller {
     /// A proxy has attached. Its tables are those of an earlier controller, unless `has_no_table`; it may
     /// have ejected what failed it. `request_rate` is what it usually has, in requests a second.
-    pub fn attach_proxy(&mut self, proxy: ProxyId, zone: ZoneId, request_rate: f64, has_no_table: bool) {
+    pub fn attach_proxy(
+        &mut self,
+        now: Duration,
+        proxy: ProxyId,
+        zone: ZoneId,
+        request_rate: f64,
+        has_no_table: bool,
+    ) {
         let subset = (self.layout.subsets == 1).then_some(0);
-        self.proxies.attach(proxy, ProxyState::new(zone, request_rate, has_no_table, subset));
+        self.proxies.attach(proxy, ProxyState::new(now, zone, request_rate, has_no_table, subset));
         self.plan_is_stale = true;
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -18,9 +18,9 @@
 use crate::health::HealthCheckSchedule;
 use crate::load_shedding::ClassAdmission;
 use crate::proxies::ProxySet;
-use crate::publish::{PendingUpdate, Update};
+use crate::publish::{PendingUpdate, Priority, Update};
 use crate::random::Random;
-use crate::rate_limit::UpdateChannel;
+use crate::rate_limit::{NoCapacity, UpdateChannel};
 use crate::slow_start::Stability;
 use crate::state::{EndpointState, RoutingTable};
 use crate::subsets::{Spillover, SubsetLayout};
@@ -124,11 +124,10 @@
             if self.is_already_ejected(pending.update) {
                 continue;
             }
-            let action = self.apply(now, pending);
-            if action.is_some() {
-                return action;
+            match self.apply(now, pending) {
+                Ok(action) => return Some(action),
+                Err(obstacle) => self.keep_pending_behind(pending, obstacle),
             }
-            self.keep_pending_behind(pending);
         }
         self.ready.pop_front()
     }
@@ -140,10 +139,12 @@
     }
 
     /// Updates are sent from the top: what ranks no higher than one that had to wait waits as well, but for
-    /// proxies that need a table.
-    fn keep_pending_behind(&mut self, waiting: PendingUpdate) {
+    /// proxies that need a table. A table that is urgent itself keeps only other tables company: what is owed
+    /// later would else fill the queue in its place, as it is shorter.
+    fn keep_pending_behind(&mut self, waiting: PendingUpdate, obstacle: NoCapacity) {
         let is_assignment = |update: Update| matches!(update, Update::AssignTable(..));
-        let one_proxy_waits = is_assignment(waiting.update);
+        let queue_is_full = obstacle == NoCapacity::InQueue && waiting.priority == Priority::Drain;
+        let one_proxy_waits = is_assignment(waiting.update) && !queue_is_full;
         self.pending.retain(|pending| {
             one_proxy_waits || pending.priority > waiting.priority || is_assignment(pending.update)
         });
--- a/src/controller/planning.rs
+++ b/src/controller/planning.rs
@@ -6,7 +6,7 @@
 use super::Controller;
 use crate::load_shedding::ClassAdmission;
 use crate::proxies::Recipients;
-use crate::publish::{PendingUpdate, PlanInputs, Priority, assignments};
+use crate::publish::{PendingUpdate, PlanInputs, Priority, UnassignedProxies, assignments, in_order};
 use crate::startup_hold::HoldConditions;
 use crate::state::EndpointState;
 use crate::thresholds::TICK_INTERVAL;
@@ -23,13 +23,13 @@
         let inputs = self.plan_inputs(now);
         let mut updates = if publishing { inputs.changed_admissions() } else { Vec::new() };
         let entries = inputs.changed_entries(publishing);
-        let ejections = inputs.changed_ejections(self.newest_unassigned());
+        let ejections = inputs.changed_ejections(&self.unassigned_proxies());
         if entries.iter().any(|pending| pending.priority == Priority::Common) {
             self.next_publication = now + self.publication_interval();
         }
-        updates.extend(entries);
-        updates.extend(self.assignments());
-        updates.extend(ejections);
+        let mut ranked = entries;
+        ranked.extend(self.assignments());
+        updates.extend(in_order(now, ranked, ejections));
         self.pending = updates.into();
     }
 
@@ -100,7 +100,14 @@
     /// none does. Only those that were not told of an ejection count: where many attach one by one, each
     /// would else be told for all.
     pub(super) fn newest_unassigned(&self) -> u64 {
-        let unassigned = Recipients::OnFewerTables { than: self.layout.tables_per_subset, attached_after: 0 };
-        self.proxies.newest_generation(unassigned)
+        self.proxies.newest_generation(self.unassigned())
+    }
+
+    fn unassigned_proxies(&self) -> UnassignedProxies {
+        UnassignedProxies::new(self.proxies.attachments(self.unassigned()))
+    }
+
+    fn unassigned(&self) -> Recipients {
+        Recipients::OnFewerTables { than: self.layout.tables_per_subset, attached_after: 0 }
     }
 }
--- a/src/proxies.rs
+++ b/src/proxies.rs
@@ -9,6 +9,8 @@
 pub struct ProxyState {
     /// Attachments are numbered from 1; a proxy that attaches again gets a new number.
     pub generation: u64,
+    /// When it attached.
+    pub attached_at: Duration,
     /// The zone that it stands in.
     pub zone: ZoneId,
     /// Requests a second that it usually has.
@@ -25,9 +27,16 @@
 
 impl ProxyState {
     /// A proxy that has just attached.
-    pub fn new(zone: ZoneId, request_rate: f64, has_no_table: bool, subset: Option<usize>) -> Self {
+    pub fn new(
+        attached_at: Duration,
+        zone: ZoneId,
+        request_rate: f64,
+        has_no_table: bool,
+        subset: Option<usize>,
+    ) -> Self {
         ProxyState {
             generation: 0,
+            attached_at,
             zone,
             request_rate,
             has_no_table,
@@ -48,6 +57,15 @@
     }
 }
 
+/// When a proxy attached, and as which attachment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attachment {
+    /// Counts all attachments, in their order.
+    pub generation: u64,
+    /// When it was.
+    pub at: Duration,
+}
+
 /// The proxies that an update is for.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Recipients {
@@ -168,6 +186,12 @@
         included.map(|proxy| proxy.generation).max().unwrap_or(0)
     }
 
+    /// The attachments of these.
+    pub fn attachments(&self, recipients: Recipients) -> Vec<Attachment> {
+        let included = self.proxies.values().filter(|proxy| recipients.includes(proxy));
+        included.map(|proxy| Attachment { generation: proxy.generation, at: proxy.attached_at }).collect()
+    }
+
     /// The messages that an update at this time would begin.
     pub fn new_messages(&mut self, recipients: Recipients, now: Duration, window: Duration) -> NewMessages {
         let not_messaged = self.included_mut(recipients).filter(|proxy| !proxy.was_messaged_at(now));
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -8,16 +8,20 @@
 use std::time::Duration;
 
 use crate::load_shedding::ClassAdmission;
-use crate::proxies::{ProxySet, ProxyState};
+use crate::proxies::{Attachment, ProxySet, ProxyState};
 use crate::state::{EndpointState, RoutingTable};
 use crate::subsets::SubsetLayout;
-use crate::thresholds::{WEAK_FRACTION, round_to_step};
+use crate::thresholds::{TICK_INTERVAL, WEAK_FRACTION, round_to_step};
 use crate::weights::CAUTIOUS_FRACTION;
 use crate::{EndpointId, ProxyId, TableId};
 
 /// A subset takes proxies of its zone up to this multiple of its fair load.
 const MAX_LOAD_FACTOR: f64 = 1.1;
 
+/// A table of up to so many entries for each ejection that it replaces is sent in their place: they would cost
+/// the channel half as much once more, as the table has to follow them.
+const MAX_ENTRIES_PER_EJECTION: usize = 2;
+
 /// How urgent an update is. Higher priorities may fill more of the limits on queue and messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Priority {
@@ -59,9 +63,65 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PendingUpdate {
     pub priority: Priority,
+    /// Since when it is owed, where its priority is [`Priority::Drain`].
+    pub owed_since: Duration,
     pub update: Update,
 }
 
+impl PendingUpdate {
+    /// An update that may wait.
+    fn deferrable(priority: Priority, update: Update) -> Self {
+        PendingUpdate { priority, owed_since: Duration::ZERO, update }
+    }
+
+    fn urgent(owed_since: Duration, update: Update) -> Self {
+        PendingUpdate { priority: Priority::Drain, owed_since, update }
+    }
+}
+
+/// Orders the updates of a plan: urgent ones first, those owed longest before others, as their grace ends
+/// first. The order of the rest stays.
+///
+/// A table ends the need for ejections at its proxy. So ejections come behind the tables that are urgent
+/// themselves, and behind all others while they are new: where these go out at once, no ejection is sent.
+pub fn in_order(
+    now: Duration,
+    updates: Vec<PendingUpdate>,
+    ejections: Vec<PendingUpdate>,
+) -> Vec<PendingUpdate> {
+    let is_urgent = |pending: &PendingUpdate| pending.priority == Priority::Drain;
+    let (mut urgent, rest): (Vec<_>, Vec<_>) = updates.into_iter().partition(is_urgent);
+    urgent.sort_by_key(|pending| pending.owed_since);
+    let has_waited = |pending: &PendingUpdate| pending.owed_since + TICK_INTERVAL <= now;
+    let (mut waiting, new): (Vec<_>, Vec<_>) = ejections.into_iter().partition(has_waited);
+    waiting.sort_by_key(|pending| pending.owed_since);
+    [urgent, waiting, rest, new].concat()
+}
+
+/// The proxies that may still hold tables of an earlier controller.
+pub struct UnassignedProxies {
+    attachments: Vec<Attachment>,
+}
+
+impl UnassignedProxies {
+    /// Of their attachments in any order.
+    pub fn new(mut attachments: Vec<Attachment>) -> Self {
+        // Generations count up with time, so the first one after a generation attached before all others.
+        attachments.sort_unstable_by_key(|attachment| attachment.generation);
+        UnassignedProxies { attachments }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.attachments.is_empty()
+    }
+
+    /// When the first of those that attached after this generation did.
+    fn first_attached_after(&self, generation: u64) -> Option<Duration> {
+        let index = self.attachments.partition_point(|attachment| attachment.generation <= generation);
+        self.attachments.get(index).map(|attachment| attachment.at)
+    }
+}
+
 /// What plans are made from.
 pub struct PlanInputs<'a> {
     pub now: Duration,
@@ -80,7 +140,7 @@
             let fraction = round_to_step(admission.rate.min(admission.planned_rate));
             if self.tables[admission.table].released && admission.published != Some(fraction) {
                 let update = Update::SetAdmission { admission: index, fraction };
-                updates.push(PendingUpdate { priority: Priority::Common, update });
+                updates.push(PendingUpdate::deferrable(Priority::Common, update));
             }
         }
         updates
@@ -109,7 +169,9 @@
                 if let Some(priority) = self.entry_priority(&entry, running_empty, publishing) {
                     let moved = entry.moved_requests(total, demand);
                     let update = Update::SetWeight(index, *endpoint);
-                    ranked.push(RankedUpdate { moved, update: PendingUpdate { priority, update } });
+                    let owed_since = entry.owed_since(self.now);
+                    let update = PendingUpdate { priority, owed_since, update };
+                    ranked.push(RankedUpdate { moved, update });
                 }
             }
         }
@@ -145,19 +207,19 @@
 
     /// Ejections and their ends. An endpoint that must not be used is ejected at the proxies that still hold
     /// tables of an earlier controller, start-up hold or not: no proxy may use it past the grace. One that
-    /// comes back returns at its initial weight, never at the weight it left with. `newest_unassigned` is the
-    /// newest attachment generation of these proxies.
-    pub fn changed_ejections(&self, newest_unassigned: u64) -> Vec<PendingUpdate> {
+    /// comes back returns at its initial weight, never at the weight it left with. `unassigned` are these
+    /// proxies.
+    pub fn changed_ejections(&self, unassigned: &UnassignedProxies) -> Vec<PendingUpdate> {
         let update = |(endpoint, state): (&EndpointId, &EndpointState)| {
             if self.must_be_ejected(state) {
-                let is_due = state.ejected_up_to_generation < newest_unassigned;
-                return is_due.then_some(Update::Eject(*endpoint));
+                let attached_at = unassigned.first_attached_after(state.ejected_up_to_generation)?;
+                let owed_since = attached_at.max(state.changed_at.unwrap_or_default());
+                return Some(PendingUpdate::urgent(owed_since, Update::Eject(*endpoint)));
             }
-            let is_due = state.ejected && newest_unassigned == 0 && !self.is_overweight(*endpoint);
-            is_due.then_some(Update::Restore(*endpoint))
+            let is_due = state.ejected && unassigned.is_empty() && !self.is_overweight(*endpoint);
+            is_due.then(|| PendingUpdate::urgent(self.now, Update::Restore(*endpoint)))
         };
-        let updates = self.endpoints.iter().filter_map(update);
-        updates.map(|update| PendingUpdate { priority: Priority::Drain, update }).collect()
+        self.endpoints.iter().filter_map(update).collect()
     }
 
     /// Whether some table still publishes more than an endpoint's desired weight.
@@ -187,6 +249,16 @@
         leaves || restarted
     }
 
+    /// Since when a change that must not wait is owed: since the list told of it, where the weight is of before that. An
+    /// endpoint that is warming up and has little weight already is no worse off for a while.
+    fn owed_since(&self, now: Duration) -> Duration {
+        let has_little = self.published <= CAUTIOUS_FRACTION * self.state.record.weight;
+        match self.state.changed_at {
+            Some(changed_at) if self.state.is_not_ready() || !has_little => changed_at,
+            _ => now,
+        }
+    }
+
     fn moved_requests(&self, total_weight: f64, demand: f64) -> f64 {
         (self.desired - self.published).abs() / total_weight.max(1e-9) * (1.0 + demand)
     }
@@ -223,8 +295,8 @@
         state.subset = Some(subset);
         for table in layout.tables_of(subset) {
             if tables[table].released && !state.tables.contains(&table) {
-                let priority = assignment_priority(&tables[table], state.generation, endpoints);
-                updates.push(PendingUpdate { priority, update: Update::AssignTable(table, proxy) });
+                let update = Update::AssignTable(table, proxy);
+                updates.push(assignment(&tables[table], state, endpoints, update));
             }
         }
     }
@@ -234,19 +306,20 @@
 /// A table replaces the ejections that its proxy would else get one by one: where it is the shorter message,
 /// it is as urgent as they are. In a rollout, those that attach one by one would else wait while the longer
 /// message fills the queue.
-fn assignment_priority(
+fn assignment(
     table: &RoutingTable,
-    generation: u64,
+    proxy: &ProxyState,
     endpoints: &BTreeMap<EndpointId, EndpointState>,
-) -> Priority {
+    update: Update,
+) -> PendingUpdate {
     let is_owed =
-        |state: &&EndpointState| state.is_not_ready() && state.ejected_up_to_generation < generation;
+        |state: &&EndpointState| state.is_not_ready() && state.ejected_up_to_generation < proxy.generation;
     let owed_ejections = endpoints.values().filter(is_owed).count();
-    if (1..owed_ejections).contains(&table.published_entries()) {
-        Priority::Drain
-    } else {
-        Priority::Assignment
+    if !(1..=MAX_ENTRIES_PER_EJECTION * owed_ejections).contains(&table.published_entries()) {
+        return PendingUpdate::deferrable(Priority::Assignment, update);
     }
+    let first_change = endpoints.values().filter(is_owed).filter_map(|state| state.changed_at).min();
+    PendingUpdate::urgent(first_change.unwrap_or_default().max(proxy.attached_at), update)
 }
 
 /// Requests and weights by subset.
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -66,16 +66,17 @@
 }
 
 impl UpdateChannel {
-    /// Reserves capacity for an update of this many entries to each recipient; false if the queue or a
-    /// proxy's messages would then fill more than the priority's fraction of the limits.
-    #[must_use]
+    /// Reserves capacity for an update of this many entries to each recipient.
+    ///
+    /// # Errors
+    /// The queue or a proxy's messages would then fill more than the priority's fraction of the limits.
     pub fn try_reserve(
         &mut self,
         proxies: &mut ProxySet,
         limits: &FleetSettings,
         now: Duration,
         update: Reservation,
-    ) -> bool {
+    ) -> Result<(), NoCapacity> {
         let Reservation { entries, recipients, priority } = update;
         let queue = self.queued(now, limits.max_entries_per_second);
         let queued = if priority < Priority::Drain { queue.pessimistic } else { queue.urgent };
@@ -87,12 +88,15 @@
         };
         let cost =
             (entries * proxies.count(recipients)) as f64 + new.count as f64 * limits.message_overhead_entries;
-        let queue_is_full = queued + cost > limits.max_queued_entries * priority.limit_fraction();
+        let max_queued = limits.max_queued_entries * priority.limit_fraction();
         // Messages run short sooner than the queue: those of urgent updates leave some to all others.
         let max_messages = limits.max_messages * priority.max(Priority::Assignment).limit_fraction();
         let too_many_messages = new.count > 0 && new.max_recent as f64 >= max_messages;
-        if queue_is_full || too_many_messages {
-            return false;
+        if too_many_messages || cost > max_queued {
+            return Err(NoCapacity::ForThis);
+        }
+        if queued + cost > max_queued {
+            return Err(NoCapacity::InQueue);
         }
         self.add(cost);
         if is_new {
@@ -101,7 +105,7 @@
                 self.messaged.push(recipients);
             }
         }
-        true
+        Ok(())
     }
 
     /// The host counts this many entries as waiting; a proxy that has stalled takes none.
@@ -156,6 +160,15 @@
     }
 }
 
+/// Why an update can't go out now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoCapacity {
+    /// The queue is too full; it has capacity once it drains.
+    InQueue,
+    /// Its recipients have had too many messages, or it is too large: others may go out all the same.
+    ForThis,
+}
+
 /// What an update asks of the channel.
 #[derive(Clone, Copy)]
 pub struct Reservation {
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,9 @@
     pub recent: AttemptStats,
     /// The fraction of its cores in use, where it reports one.
     pub load: Option<f64>,
+    /// When the endpoint list last said that it drains, is removed or was started, if it ever did: from then on its
+    /// grace runs.
+    pub changed_at: Option<Duration>,
     /// Whether proxies were told not to use it, whatever their tables say.
     pub ejected: bool,
     /// The ejection reached the proxies up to this attachment generation.
@@ -56,6 +59,7 @@
             unevaluated: AttemptStats::default(),
             recent: AttemptStats::default(),
             load: None,
+            changed_at: None,
             ejected: false,
             ejected_up_to_generation: 0,
         }
--- a/tests/controller/recorded.rs
+++ b/tests/controller/recorded.rs
@@ -62,6 +62,7 @@
         let proxy = script.below(proxies) as usize;
         match script.below(5) {
             0 | 1 => fleet.controller.attach_proxy(
+                fleet.now,
                 proxy,
                 proxy % 2,
                 1.0 + (proxy % 3) as f64,
--- a/tests/controller/test_fleet.rs
+++ b/tests/controller/test_fleet.rs
@@ -146,7 +146,7 @@
     }
 
     pub fn attach(&mut self, proxy: usize) -> &mut Self {
-        self.controller.attach_proxy(proxy, proxy % 2, 1.0, true);
+        self.controller.attach_proxy(self.now, proxy, proxy % 2, 1.0, true);
         self
     }
 
