Count no version for a refused command that changed nothing

Seen: set server t0/nope weight 5 answered No such backend. and proc.version went from 0 to 1, by which choices are compared.

--- a/crates/proxy/src/routing/state.rs
+++ b/crates/proxy/src/routing/state.rs
@@ -107,6 +107,17 @@
         self.variables = tables.variables;
     }
 
+    /// Whether commands changed anything since `tables` was taken.
+    #[must_use]
+    pub fn differs_from(&self, tables: &TableSet) -> bool {
+        let same_backend = |(name, backend): (&String, &Rc<Backend>)| {
+            tables.backends.get(name).is_some_and(|previous| Rc::ptr_eq(previous, backend))
+        };
+        let same_backends =
+            self.backends.len() == tables.backends.len() && self.backends.iter().all(same_backend);
+        !same_backends || self.class_map != tables.class_map || self.variables != tables.variables
+    }
+
     /// Counts a batch of commands that takes effect. Tables that differ from `base` get its version.
     pub fn stamp_version(&mut self, base: &TableSet) {
         self.version += 1;
--- a/crates/proxy/src/table_transaction.rs
+++ b/crates/proxy/src/table_transaction.rs
@@ -90,11 +90,13 @@
     /// Puts the staged state in force, or nothing of it if a command of several was refused; the answers to
     /// the commands. `counts` says whether the line takes effect as a batch with a version of its own.
     pub(crate) fn conclude(mut self, state: &mut RoutingState, counts: bool) -> Vec<String> {
-        let rejection = self.rejection.take().filter(|_| self.change_positions.len() > 1);
-        if let Some(error) = rejection {
+        let rejection = self.rejection.take();
+        // A single command that was refused may have changed something: lines of a payload before the one at fault.
+        let has_effect = rejection.is_none() || self.staged.differs_from(&self.base);
+        if let Some(error) = rejection.filter(|_| self.change_positions.len() > 1) {
             self.reject_all(&error.for_batch());
         } else if !self.change_positions.is_empty() {
-            if counts {
+            if counts && has_effect {
                 self.staged.stamp_version(&self.base);
             }
             state.adopt(self.staged, &self.base);
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -375,6 +375,23 @@
     });
 }
 
+/// Guards against versions that count what changed nothing: choices are compared by them.
+#[test]
+fn a_refused_command_counts_no_version() {
+    run(async {
+        let fixture = start(&[endpoint(Behavior::Answers(OK)).await.0], |_| {}).await;
+        let version = fixture.command("get var proc.version").await;
+        for refused in
+            ["set server t0/nope weight 5", "set server standing/e0 weight 300", "commit map @9 tables"]
+        {
+            fixture.command(refused).await;
+            assert_eq!(fixture.command("get var proc.version").await, version, "{refused}");
+        }
+        fixture.command("set server standing/e0 weight 30").await;
+        assert_ne!(fixture.command("get var proc.version").await, version);
+    });
+}
+
 #[test]
 fn commands_of_older_epochs_and_versions_are_refused() {
     run(async {
