--- a/crates/proxy/src/command_queue.rs
+++ b/crates/proxy/src/command_queue.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Ends the answer to a line that was carried out elsewhere, and says what becomes of the connection.
+    pub fn end_line(&self, out: &mut String) -> SessionState {
+        self.session.end_answer(out);
+        if self.session.is_interactive() { SessionState::Stay } else { SessionState::Close }
+    }
+
     fn stage(&mut self, command: &Command, transaction: &mut TableTransaction) {
         if let Some(result) = self.connection_command(command, transaction) {
             let mut text = TableTransaction::answer_text(&mut transaction.rejection, command, result);
--- a/crates/proxy/src/io/control.rs
+++ b/crates/proxy/src/io/control.rs
@@ -61,7 +61,7 @@
         && command.joined_words() == SHOW_LATENCIES
     {
         out.push_str(&worker.latencies.borrow().show());
-        return SessionState::Stay;
+        return queue.end_line(out);
     }
     worker.execute(commands, queue, out).await
 }
--- a/crates/proxy/src/io/latencies.rs
+++ b/crates/proxy/src/io/latencies.rs
@@ -33,7 +33,7 @@
         self.histograms.entry(key).or_insert_with(new).saturating_record(latency.as_micros() as u64);
     }
 
-    /// The answer to `show times`, with the empty line that ends it.
+    /// The answer to `show times`, without the empty line that ends it.
     pub fn show(&self) -> String {
         let mut text = "# endpoint class answered p50_ms p99_ms most_ms\n".to_string();
         for (Key { endpoint, class }, histogram) in &self.histograms {
@@ -47,7 +47,7 @@
                 milliseconds(histogram.max())
             );
         }
-        text + "\n"
+        text
     }
 }
 
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -392,6 +392,20 @@
     });
 }
 
+/// Guards against a client that waits for the end of an answer until its time-out.
+#[test]
+fn show_times_closes_like_every_other_command() {
+    run(async {
+        let fixture = start(&[endpoint(Behavior::Answers(OK)).await.0], |_| {}).await;
+        fixture.request_status().await;
+        let shown = fixture.command("show times").await;
+        assert!(
+            shown.contains("e0 look 1 ") && shown.ends_with("\n\n") && !shown.ends_with("\n\n\n"),
+            "{shown:?}"
+        );
+    });
+}
+
 #[test]
 fn commands_of_older_epochs_and_versions_are_refused() {
     run(async {
