Answer a line that is too long before its connection ends

Seen at a proxy's control socket: 70,000 bytes reset the connection without a word. The proxy dropped it with bytes unread, which makes a reset of the close; the controller's sockets answered and did the same.

--- a/crates/proxy/src/io/control.rs
+++ b/crates/proxy/src/io/control.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::rc::Rc;
 
-use lockcroft_runtime_api::{AccessLevel, Command, CommandReader, Listener, SessionState, Stream};
+use lockcroft_runtime_api::{AccessLevel, Command, CommandReader, Listener, SessionState, Stream, reject};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
 
@@ -31,7 +31,12 @@
     let mut reader = CommandReader::default();
     let mut queue = CommandQueue::new(AccessLevel::Admin);
     loop {
-        while let Some(commands) = next_line(&mut reader)? {
+        loop {
+            let commands = match reader.next_line() {
+                Ok(Some(commands)) => commands,
+                Ok(None) => break,
+                Err(error) => return reject(stream, &error).await,
+            };
             worker.stall(&commands);
             let mut out = String::new();
             let session_state = execute(commands, &mut queue, worker, &mut out).await;
@@ -47,10 +52,6 @@
     }
 }
 
-fn next_line(reader: &mut CommandReader) -> io::Result<Option<Vec<Command>>> {
-    reader.next_line().map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
-}
-
 async fn execute(
     commands: Vec<Command>,
     queue: &mut CommandQueue,
--- a/crates/proxy/tests/sockets/main.rs
+++ b/crates/proxy/tests/sockets/main.rs
@@ -406,6 +406,16 @@
     });
 }
 
+/// Guards against a reset in place of the reason.
+#[test]
+fn a_line_that_is_too_long_is_answered_before_the_connection_ends() {
+    run(async {
+        let fixture = start(&[endpoint(Behavior::Answers(OK)).await.0], |_| {}).await;
+        let answer = fixture.command(&"x".repeat(70_000)).await;
+        assert_eq!(answer, "Line too long; allowed: 16384 bytes\n\n");
+    });
+}
+
 #[test]
 fn commands_of_older_epochs_and_versions_are_refused() {
     run(async {
--- a/crates/runtime-api/src/command_reader.rs
+++ b/crates/runtime-api/src/command_reader.rs
@@ -11,7 +11,7 @@
 
 /// A line or payload is longer than [`MAX_LINE_BYTES`]: the connection can't be followed any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("Line too long")]
+#[error("Line too long; allowed: {MAX_LINE_BYTES} bytes")]
 pub struct LineTooLong;
 
 /// Collects bytes and gives out whole lines of commands.
--- a/crates/runtime-api/src/lib.rs
+++ b/crates/runtime-api/src/lib.rs
@@ -23,6 +23,6 @@
 pub use level::{AccessLevel, UnknownLevel};
 pub use line_buffer::LineBuffer;
 pub use response_reader::ResponseReader;
-pub use server::{MAX_RESPONSE_BYTES, MAX_SESSIONS, serve};
+pub use server::{MAX_RESPONSE_BYTES, MAX_SESSIONS, reject, serve};
 pub use session::{Session, SessionState};
 pub use tokenizer::{Command, escaped, split};
--- a/crates/runtime-api/src/server.rs
+++ b/crates/runtime-api/src/server.rs
@@ -11,7 +11,7 @@
 
 use crate::address::{Listener, Stream};
 use crate::command_handler::CommandHandler;
-use crate::command_reader::CommandReader;
+use crate::command_reader::{CommandReader, LineTooLong};
 use crate::level::AccessLevel;
 use crate::session::{Session, SessionState};
 
@@ -30,6 +30,10 @@
 /// How often a connection that follows is sent what there is.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long the other end may take to close once its line was rejected, and the most bytes that are dropped then.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_DROPPED_BYTES: usize = 1 << 20;
+
 /// Pause after a failed accept, as when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -79,7 +83,7 @@
             let commands = match reader.next_line() {
                 Ok(Some(commands)) => commands,
                 Ok(None) => break,
-                Err(error) => return write(&mut stream, &format!("{error}\n\n")).await,
+                Err(error) => return reject(stream, &error).await,
             };
             let mut out = String::new();
             let state = session.execute_line(&commands, &mut *shared.handler.borrow_mut(), &mut out);
@@ -97,6 +101,31 @@
     }
 }
 
+/// Answers a line that can't be read, and closes the connection. Bytes that lie unread at a close make a reset of it,
+/// which may take the answer along: they are read and dropped for a while.
+///
+/// # Errors
+/// The connection broke.
+pub async fn reject(mut stream: Box<dyn Stream>, error: &LineTooLong) -> io::Result<()> {
+    write(&mut stream, &format!("{error}\n\n")).await?;
+    stream.shutdown().await?;
+    // It is closed in any case.
+    let _ = timeout(CLOSE_TIMEOUT, drop_what_comes(&mut stream)).await;
+    Ok(())
+}
+
+async fn drop_what_comes(stream: &mut Box<dyn Stream>) -> io::Result<()> {
+    let mut dropped = 0;
+    let mut buffer = [0; 4096];
+    while dropped < MAX_DROPPED_BYTES {
+        match stream.read(&mut buffer).await? {
+            0 => break,
+            read => dropped += read,
+        }
+    }
+    Ok(())
+}
+
 /// Sends what there is to follow until the client sends anything or closes, as HAProxy's `show events -w`.
 async fn follow(mut stream: Box<dyn Stream>, shared: &Shared, mut position: u64) -> io::Result<()> {
     let mut ignored = [0; 256];
