Write what was learned last before SIGTERM ends the controller

What was learned shortly before SIGTERM was missing at the next start: state is looked for in slices, and nobody looked once more at the end; the threads that write it and the table files were not joined. serve now records all, closes the inboxes and waits for the threads, 0.5 s at most or until a second signal, and says so in the log if they did not end.

That the unjoined threads lost something is read from the code; it was not forced.

--- a/crates/cli/tests/daemon/signals.rs
+++ b/crates/cli/tests/daemon/signals.rs
@@ -184,6 +184,32 @@
     }
 }
 
+/// Guards against what was learned just before the end being lost with the thread that writes it.
+#[test]
+fn sigterm_leaves_on_disk_what_a_controller_learned_last() {
+    let fixture = ControllerFixture::new();
+    let settings = std::fs::read_to_string(fixture.path("pilot.xml")).expect("there");
+    let settings = settings.replace("<proxies/>", "<memory folder=\"memory\"/><proxies/>");
+    std::fs::write(fixture.path("pilot.xml"), settings).expect("written");
+    for round in 3..8 {
+        let names: Vec<String> = (1..=round).map(|number| format!("e{number}")).collect();
+        let mut controller = Program::start("serve", &fixture.path("pilot.xml"), &fixture.path("pilot.log"));
+        fixture.until("show info", |output| output.contains(&format!("Servers: {}", round - 1)));
+        std::fs::write(
+            fixture.path("roster.xml"),
+            roster(&names.iter().map(String::as_str).collect::<Vec<_>>()),
+        )
+        .expect("written");
+        fixture.until("show info", |output| output.contains(&format!("Servers: {round}")));
+        controller.signal(Signal::TERM);
+        assert_eq!(controller.exit_status().code(), Some(0));
+        let shown =
+            crate::controller_fixture::run(&["state", "show", &fixture.path("memory").display().to_string()]);
+        let shown = String::from_utf8_lossy(&shown.stdout).into_owned();
+        assert!(shown.contains(&format!("\"server\":\"e{round}\"")), "{shown}");
+    }
+}
+
 /// Guards against SIGHUP ending the controller.
 #[test]
 fn sighup_has_a_controller_read_its_endpoint_list_again() {
--- a/crates/daemon/src/event_loop.rs
+++ b/crates/daemon/src/event_loop.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft_config::{DaemonConfig, EndpointListSource};
 use lockcroft_fleet::{Effect, FleetController, SolverTask};
@@ -30,6 +30,9 @@
 const MAX_WAITING_EVENTS: usize = 4096;
 /// So many of them are taken in before the controller decides.
 const MAX_EVENTS_PER_ROUND: usize = 512;
+/// How long the threads that write may take at the end.
+const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+const FINAL_WRITE_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Runs a controller until a signal ends it.
 pub async fn run(config: &DaemonConfig, logging: Logging, mut signals: Signals) -> Result<(), DaemonError> {
@@ -37,6 +40,10 @@
     info!(target: "lockcroft::daemon", name = config.name, proxies = config.proxies.len(), "started");
     event_loop.run_until_terminated(&mut signals).await;
     info!(target: "lockcroft::daemon", "told to end; proxies keep their tables");
+    tokio::select! {
+        () = event_loop.finish_writes() => {}
+        () = signals.terminated() => warn_operators("told to end again: what was being written may be lost"),
+    }
     for listener in &config.listeners {
         if let Address::Unix(path) = &listener.address {
             let _ = std::fs::remove_file(path);
@@ -179,6 +186,29 @@
         }
     }
 
+    /// Waits for what was handed to the threads that write, for a while.
+    async fn finish_writes(&mut self) {
+        // A thread that reports what it wrote would else wait for room.
+        self.receiver.close();
+        let learned = self.commands.borrow_mut().fleet.record_all_state(self.start.elapsed());
+        learned.into_iter().for_each(|effect| self.carry_out(effect));
+        self.state_writer.iter_mut().for_each(StateWriter::close);
+        self.snapshot_publisher.iter_mut().for_each(SnapshotPublisher::close);
+        let deadline = Instant::now() + FINAL_WRITE_TIMEOUT;
+        while !self.all_written() {
+            if Instant::now() >= deadline {
+                warn_operators("the disk is too slow: what was being written at the end may be lost");
+                return;
+            }
+            tokio::time::sleep(FINAL_WRITE_POLL_INTERVAL).await;
+        }
+    }
+
+    fn all_written(&self) -> bool {
+        self.state_writer.as_ref().is_none_or(StateWriter::has_ended)
+            && self.snapshot_publisher.as_ref().is_none_or(SnapshotPublisher::has_ended)
+    }
+
     /// Reads the endpoint list again, the only file that may change while the controller runs.
     fn reload(&self) {
         match &self.reread {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod snapshot_publisher;
 mod snapshot_status;
 mod state_writer;
+mod worker_thread;
 
 use lockcroft_config::DaemonConfig;
 use lockcroft_signals::Signals;
--- a/crates/daemon/src/snapshot_publisher.rs
+++ b/crates/daemon/src/snapshot_publisher.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::Receiver;
 
 use lockcroft_config::TableFilesConfig;
 use lockcroft_fleet::{Publication, PublishError};
@@ -14,6 +14,7 @@
 use crate::error::DaemonError;
 use crate::event::{Event, EventSender};
 use crate::warn_operators;
+use crate::worker_thread::WorkerThread;
 
 /// The folder could not be written.
 #[derive(Debug, Error)]
@@ -23,8 +24,8 @@
     source: io::Error,
 }
 
-/// The inbox of the thread that writes; the thread ends with it.
-pub struct SnapshotPublisher(Sender<Arc<Publication>>);
+/// The thread that writes.
+pub struct SnapshotPublisher(WorkerThread<Arc<Publication>>);
 
 impl SnapshotPublisher {
     /// Starts the thread.
@@ -36,20 +37,25 @@
         controller: &str,
         events: EventSender,
     ) -> Result<Self, DaemonError> {
-        let (sender, inbox) = channel();
         read_keys(&config.key_file).map_err(|error| DaemonError::Keys(error.into()))?;
         let worker = PublisherThread { config: config.clone(), controller: controller.into(), writer: None };
-        std::thread::Builder::new()
-            .name("files".into())
-            .spawn(move || worker.run(&inbox, &events))
-            .map_err(DaemonError::Thread)?;
-        Ok(SnapshotPublisher(sender))
+        let thread = WorkerThread::spawn("files", move |inbox| worker.run(inbox, &events));
+        Ok(SnapshotPublisher(thread.map_err(DaemonError::Thread)?))
     }
 
     /// Hands a snapshot to the thread.
     pub fn write(&self, publication: Arc<Publication>) {
-        // The thread ends only with the daemon.
-        let _ = self.0.send(publication);
+        self.0.send(publication);
+    }
+
+    /// Takes no more snapshots; those that were handed over are written.
+    pub fn close(&mut self) {
+        self.0.close();
+    }
+
+    /// Whether all is written.
+    pub fn has_ended(&self) -> bool {
+        self.0.has_ended()
     }
 }
 
@@ -63,9 +69,8 @@
     fn run(mut self, inbox: &Receiver<Arc<Publication>>, events: &EventSender) {
         while let Ok(publication) = inbox.recv() {
             let result = self.write(&publication);
-            if events.blocking_send(Event::SnapshotWritten { result }).is_err() {
-                return;
-            }
+            // At the end of the daemon nobody takes it any more.
+            let _ = events.blocking_send(Event::SnapshotWritten { result });
         }
     }
 
--- a/crates/daemon/src/state_writer.rs
+++ b/crates/daemon/src/state_writer.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::path::Path;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft::Settings;
@@ -16,6 +16,7 @@
 
 use crate::event::{Event, EventSender};
 use crate::warn_operators;
+use crate::worker_thread::WorkerThread;
 
 /// What was learned is on disk after so long.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
@@ -24,8 +25,8 @@
 /// The shortest report period that state ages by, whatever the settings state.
 const MIN_REPORT_PERIOD: Duration = Duration::from_millis(100);
 
-/// The inbox of the thread that writes.
-pub struct StateWriter(Sender<Vec<Entry>>);
+/// The thread that writes.
+pub struct StateWriter(WorkerThread<Vec<Entry>>);
 
 /// A store that is being written, and what it held.
 pub struct OpenedState {
@@ -52,16 +53,24 @@
             }
         };
         let recovered = recover(loaded, &config.settings, started);
-        let (sender, inbox) = channel();
         let worker = WriterThread { store, events, flush_due: None, last_error: None };
-        std::thread::Builder::new().name("memory".into()).spawn(move || worker.run(&inbox)).ok()?;
-        Some(OpenedState { writer: StateWriter(sender), recovered })
+        let thread = WorkerThread::spawn("memory", move |inbox| worker.run(inbox)).ok()?;
+        Some(OpenedState { writer: StateWriter(thread), recovered })
     }
 
     /// Hands entries to the thread.
     pub fn write(&self, entries: Vec<Entry>) {
-        // The thread ends only with the daemon.
-        let _ = self.0.send(entries);
+        self.0.send(entries);
+    }
+
+    /// Takes no more entries; those that were handed over are flushed.
+    pub fn close(&mut self) {
+        self.0.close();
+    }
+
+    /// Whether all is flushed.
+    pub fn has_ended(&self) -> bool {
+        self.0.has_ended()
     }
 }
 
@@ -116,9 +125,7 @@
                     return;
                 }
             };
-            if !self.flush_if_due(appended) {
-                return;
-            }
+            self.flush_if_due(appended);
         }
     }
 
@@ -127,8 +134,7 @@
         wait.map_or(MAX_IDLE_WAIT, |wait| wait.min(MAX_IDLE_WAIT))
     }
 
-    /// Returns whether anybody still takes events.
-    fn flush_if_due(&mut self, appended: io::Result<()>) -> bool {
+    fn flush_if_due(&mut self, appended: io::Result<()>) {
         let is_due = self.flush_due.is_some_and(|due| due <= Instant::now());
         let started = Instant::now();
         let result = if is_due { appended.and(self.store.flush()) } else { appended };
@@ -136,11 +142,12 @@
         self.warn_of_new_error(error.as_deref());
         self.last_error = error;
         if !is_due {
-            return true;
+            return;
         }
         // What failed is tried again; it stays in the store until then.
         self.flush_due = self.last_error.is_some().then(|| Instant::now() + FLUSH_INTERVAL);
-        self.events.blocking_send(Event::StateSaved(self.status(started.elapsed()))).is_ok()
+        // At the end of the daemon nobody takes it any more.
+        let _ = self.events.blocking_send(Event::StateSaved(self.status(started.elapsed())));
     }
 
     fn warn_of_new_error(&self, error: Option<&str>) {
--- a/crates/fleet/src/state_recorder.rs
+++ b/crates/fleet/src/state_recorder.rs
@@ -47,6 +47,16 @@
         self.due
     }
 
+    /// Makes the next slice due at once.
+    pub fn hasten(&mut self) {
+        self.due = Duration::ZERO;
+    }
+
+    /// Whether the next slice begins with the first endpoint.
+    pub fn is_at_start(&self) -> bool {
+        self.resume_after.is_none()
+    }
+
     fn wall_clock_ms(&self, time: Duration) -> u64 {
         self.start_ms + time.as_millis() as u64
     }
--- a/crates/fleet/src/state_recovery.rs
+++ b/crates/fleet/src/state_recovery.rs
@@ -66,6 +66,21 @@
         self.controller.recover_endpoint(now, recovered);
     }
 
+    /// Gives out all that was learned and not given out yet, at the end of the controller.
+    pub fn record_all_state(&mut self, now: Duration) -> Vec<Effect> {
+        // What is left of the pass under way, then a whole one.
+        for _ in 0..2 {
+            while let Some(recorder) = &mut self.recorder {
+                recorder.hasten();
+                self.record_state(now);
+                if self.recorder.as_ref().is_none_or(StateRecorder::is_at_start) {
+                    break;
+                }
+            }
+        }
+        self.effects.drain(..).filter(|effect| matches!(effect, Effect::SaveState(_))).collect()
+    }
+
     /// Gives out what was learned since the last call.
     pub(crate) fn record_state(&mut self, now: Duration) {
         let Some(recorder) = &mut self.recorder else { return };
