Leave SIGHUP pending while an address is taken; hold test addresses without listening

The test held the address by a listener, of which a process that another test forks at that moment has a copy until its exec; it accepts in the controller's place.

--- a/crates/cli/tests/daemon/platform_controller.rs
+++ b/crates/cli/tests/daemon/platform_controller.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::thread;
@@ -10,7 +10,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::controller_fixture::PROGRAM;
 use crate::platform_testbed::TEST_TIMEOUT;
@@ -198,20 +198,30 @@
     }
 }
 
-/// An address that nobody listens on, and that is given out once. Each test process has a loopback address of its
-/// own, so that two that run at the same time never meet on one port.
-pub fn free_address() -> SocketAddr {
+/// Holds an address for as long as the socket lives. It does not listen: a process that another test forks meanwhile has
+/// a copy until it runs its program, and would accept connections that are meant for the program under test.
+///
+/// Each address is given out once. Each test process has a loopback address of its own, so that two that run at the same
+/// time never meet on one port.
+pub fn held_address() -> (Socket, SocketAddr) {
     static GIVEN_OUT: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, 1 + high % 127, middle, low);
+    let own = SocketAddr::from((Ipv4Addr::new(127, 1 + high % 127, middle, low), 0));
     loop {
-        let bound = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("bound");
-        if GIVEN_OUT.lock().expect("not poisoned").insert(bound.port()) {
-            return bound;
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&own.into()).expect("bound");
+        let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("bound");
+        if GIVEN_OUT.lock().expect("not poisoned").insert(address.port()) {
+            return (socket, address);
         }
     }
 }
 
+/// An address that nobody listens on.
+pub fn free_address() -> SocketAddr {
+    held_address().1
+}
+
 pub fn attach(proxy: usize) -> String {
     json!({"t": "attach", "node": proxy, "locality": "a", "w": 5.0, "cold": true}).to_string() + "\n"
 }
--- a/crates/cli/tests/daemon/platform_races.rs
+++ b/crates/cli/tests/daemon/platform_races.rs
@@ -1,7 +1,7 @@
 //! Races between an end and something that is still due, each forced: the test stops the other end, or the controller
 //! itself.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 
-use crate::platform_controller::{FULL_TABLE, PlatformController, Proxy, attach, free_address};
+use crate::platform_controller::{FULL_TABLE, PlatformController, Proxy, attach, free_address, held_address};
 use crate::platform_testbed::{Discovery, TEST_TIMEOUT, endpoint, entry};
 
 const HEARTBEAT: &str = "{\"t\":\"hb\"}\n";
@@ -242,8 +242,7 @@
 #[test]
 fn a_controller_whose_address_is_in_use_waits_and_handles_signals() {
     let discovery = Discovery::start(1, vec![entry("s-a", endpoint(), "up", 0)]);
-    let taken = TcpListener::bind("127.0.0.1:0").expect("bound");
-    let listen = taken.local_addr().expect("bound");
+    let (taken, listen) = held_address();
     let mut controller = PlatformController::with(listen, discovery.address, 128, |_| {});
     controller.wait_for_signal_handlers();
     controller.signal(Signal::HUP);
@@ -254,9 +253,8 @@
     controller.signal(Signal::TERM);
     assert_eq!(controller.exit_code_within(Duration::from_millis(700)), Some(0));
 
-    let taken = TcpListener::bind("127.0.0.1:0").expect("bound");
-    let mut controller =
-        PlatformController::with(taken.local_addr().expect("bound"), discovery.address, 128, |_| {});
+    let (_taken, listen) = held_address();
+    let mut controller = PlatformController::with(listen, discovery.address, 128, |_| {});
     controller.wait_for_signal_handlers();
     controller.signal(Signal::TERM);
     assert_eq!(controller.exit_code_within(Duration::from_millis(700)), Some(0));
--- a/crates/cli/tests/daemon/signals.rs
+++ b/crates/cli/tests/daemon/signals.rs
@@ -10,6 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::controller_fixture::{ControllerFixture, PROGRAM, roster};
+use crate::platform_controller::free_address;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const LIMIT: Duration = Duration::from_secs(8);
@@ -84,8 +85,7 @@
 impl ProxyFixture {
     fn new(endpoint: SocketAddr) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-        let address = free.expect("an address");
+        let address = free_address();
         let text = format!(
             "<proxy name=\"r1\"><visits address=\"{address}\"/><control address=\"unix:{}\"/>\n\
              <tries try-most=\"30s\"/><classes><class name=\"look\" patience=\"30s\"/></classes>\n\
--- a/crates/signals/src/lib.rs
+++ b/crates/signals/src/lib.rs
@@ -67,8 +67,11 @@
         }
     }
 
-    /// Waits until the program is told to end.
+    /// Waits until the program is told to end. SIGHUP is left to [`Signals::next`].
     pub async fn terminated(&mut self) {
-        while self.next().await != Received::Terminate {}
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
