--- a/crates/proxy/src/io/client_stream.rs
+++ b/crates/proxy/src/io/client_stream.rs
@@ -11,53 +11,64 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
-/// A handle on a client's socket, which closes with the last one.
-#[derive(Clone)]
-pub struct ClientStream(Rc<TcpStream>);
+/// A client's socket, as the HTTP library reads and writes it.
+pub struct ClientStream {
+    reader: OwnedReadHalf,
+    writer: Rc<OwnedWriteHalf>,
+}
+
+/// A second handle on a client's socket.
+pub struct ClientHandle(Rc<OwnedWriteHalf>);
 
 impl ClientStream {
     pub fn new(stream: TcpStream) -> Self {
-        ClientStream(Rc::new(stream))
+        let (reader, writer) = stream.into_split();
+        ClientStream { reader, writer: Rc::new(writer) }
+    }
+
+    pub fn handle(&self) -> ClientHandle {
+        ClientHandle(self.writer.clone())
+    }
+
+    fn socket(&self) -> &TcpStream {
+        (*self.writer).as_ref()
+    }
+}
+
+impl ClientHandle {
+    fn socket(&self) -> &TcpStream {
+        (*self.0).as_ref()
     }
 
     /// Waits until the client resets the connection.
     pub async fn reset(&self) {
         // A socket that can't be waited for any more is as good as reset.
-        let _ = self.0.ready(Interest::ERROR).await;
+        let _ = self.socket().ready(Interest::ERROR).await;
     }
 
     /// Whether bytes have come that were not read yet.
     pub fn has_unread(&self) -> bool {
-        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
+        SockRef::from(self.socket()).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
     }
 }
 
 impl AsyncRead for ClientStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
-                Ok(read) => {
-                    buffer.advance(read);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        Pin::new(&mut self.reader).poll_read(context, buffer)
     }
 }
 
 impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match self.0.try_write(bytes) {
+            ready!(self.socket().poll_write_ready(context))?;
+            match self.socket().try_write(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -69,6 +80,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(self.socket()).shutdown(Shutdown::Write))
     }
 }
--- a/crates/proxy/src/io/clients.rs
+++ b/crates/proxy/src/io/clients.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use super::client_stream::ClientStream;
+use super::client_stream::{ClientHandle, ClientStream};
 use super::forward::forward;
 use super::guards::CountGuard;
 use super::request_validator::RequestValidator;
@@ -74,19 +74,20 @@
 
 async fn serve_connection(stream: TcpStream, worker: &Rc<Worker>) {
     let stream = ClientStream::new(stream);
+    let handle = stream.handle();
     let between_requests = Rc::new(Cell::new(true));
-    let validated = RequestValidator::new(stream.clone(), between_requests.clone());
+    let validated = RequestValidator::new(stream, between_requests.clone());
     let service = service_fn(|request| forward(request, worker.clone()));
     let mut http = http1::Builder::new();
     // Who has closed the sending side only still waits for the response.
     http.half_close(true).timer(TokioTimer::new()).header_read_timeout(worker.config.header_timeout);
     let mut serving = pin!(http.serve_connection(TokioIo::new(validated), service));
-    let mut reset = pin!(stream.reset());
+    let mut reset = pin!(handle.reset());
     tokio::select! {
         // An error concerns this client alone: it broke off, or was cut off.
         _ = &mut serving => return,
         () = &mut reset => return,
-        () = drained(worker, &stream, &between_requests) => {}
+        () = drained(worker, &handle, &between_requests) => {}
     }
     // A request that is being answered is finished first.
     serving.as_mut().graceful_shutdown();
@@ -97,10 +98,10 @@
 }
 
 /// Waits until the proxy drains and nothing of a further request has come.
-async fn drained(worker: &Worker, stream: &ClientStream, between_requests: &Cell<bool>) {
+async fn drained(worker: &Worker, client: &ClientHandle, between_requests: &Cell<bool>) {
     worker.draining().await;
     sleep(IDLE_DRAIN_DELAY).await;
-    while stream.has_unread() || !between_requests.get() {
+    while client.has_unread() || !between_requests.get() {
         sleep(IDLE_POLL_INTERVAL).await;
     }
 }
