--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in standins platform herd; do
+for name in standins platform; do
     rustc --edition 2021 -O -o "target/review/$name" "review/standins/$name.rs"
 done
