--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -211,6 +211,8 @@
     /// Counts the addresses that discovery has had.
     pub discovery_address: usize,
     pub discovery_moved_at: f64,
+    /// The pieces in which discovery's answers come, and the time between two.
+    pub pieces: (usize, f64),
     pub broken: BTreeMap<&'static str, usize>,
     /// Violations start to count when this is set, and only in the rules that it names.
     pub record: File,
@@ -313,6 +315,7 @@
             limits_from: 0.0,
             discovery_address: 0,
             discovery_moved_at: 0.0,
+            pieces: (1, 0.0),
             broken: BTreeMap::new(),
             record,
             discovery_silent: false,
