--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -508,7 +508,9 @@
             let _ = stream.set_nodelay(true);
             let line = world.attach_line(number);
             let (Ok(mut writer), Ok(reader)) = (stream.try_clone(), stream.try_clone()) else { continue };
-            if writer.write_all(line.as_bytes()).is_ok() {
+            let is_sent = writer.write_all(line.as_bytes()).is_ok();
+            drop(writer);
+            if is_sent {
                 let generation = world.joined(number, stream);
                 let why = read_stream(world, number, generation, reader);
                 world.left(number, generation, &why);
