--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -194,24 +194,24 @@
     Ok(play.finish("endpoint for all"))
 }
 
-/// Two of three pilots are killed while 9 of 16 endpoints are replaced within 2 s: their 160 proxies come to the third.
+/// Four of six pilots are killed while 14 of 24 endpoints are replaced within 2.5 s: their 284 proxies come to this one.
 fn mass_attachment(record: &str, trouble: bool) -> Result<ExitCode, String> {
+    let own = 71;
     let site = Site {
-        agents: 240,
-        proxies: 240,
-        pilots: 3,
-        endpoints_per_zone: 4,
+        agents: 6 * own,
+        proxies: 5 * own,
+        pilots: 6,
+        endpoints_per_zone: 6,
         started_ms_ago: Some(60_000),
-        lines_per_s: 4_300.0,
-        queue_cap: 6_450.0,
-        late_ms: 300.0,
+        lines_per_s: 5_700.0,
+        queue_cap: 8_550.0,
+        late_ms: 230.0,
         requests_per_s: 4.0,
-        redial_ms: (230.0, 450.0),
+        redial_ms: (230.0, 900.0),
         ..sorraia()
     };
     let all = site.zones.len() * site.endpoints_per_zone;
     let replaced = all * 6 / 10;
-    let own = site.proxies / site.pilots;
     let (least, most) = site.redial_ms;
     let play = begin(site.clone(), replaced, record)?;
     {
@@ -229,15 +229,15 @@
     play.wait_until(14_000.0);
     let start = play.world.now();
     if trouble {
-        play.world.say(&format!("the other two pilots are killed; {} proxies dial", site.proxies - own));
+        play.world.say(&format!("four other pilots are killed; {} proxies dial", site.proxies - own));
     }
     let mut dials: Vec<(f64, usize)> = (own..site.proxies)
         .map(|number| (start + least + (most - least) * play.chance.next(), number))
         .collect();
     dials.sort_by(|a, b| b.0.total_cmp(&a.0));
     let mut steps: Vec<(f64, usize)> =
-        (0..replaced).rev().map(|step| (start + 1_900.0 * step as f64 / replaced as f64, step)).collect();
-    while trouble && play.world.now() < start + 3_000.0 {
+        (0..replaced).rev().map(|step| (start + 2_500.0 * step as f64 / replaced as f64, step)).collect();
+    while trouble && play.world.now() < start + 3_500.0 {
         let now = play.world.now();
         while let Some((_, number)) = dials.pop_if(|(at, _)| *at <= now) {
             play.world.lock().proxies[number].may_dial = true;
