--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -253,18 +253,18 @@
     Ok(play.finish("drains kept"))
 }
 
-/// The pilot that all proxies have come to is killed and starts again 1.5 s later.
+/// The pilot that all proxies have come to is killed and starts again 2.5 s later.
 fn all_come_back(record: &str, trouble: bool) -> Result<ExitCode, String> {
     let site = Site {
-        agents: 240,
-        proxies: 240,
-        pilots: 3,
-        endpoints_per_zone: 5,
+        agents: 426,
+        proxies: 426,
+        pilots: 6,
+        endpoints_per_zone: 6,
         started_ms_ago: Some(60_000),
-        lines_per_s: 5_334.0,
-        queue_cap: 8_001.0,
+        lines_per_s: 5_700.0,
+        queue_cap: 8_550.0,
         requests_per_s: 2.0,
-        redial_ms: (230.0, 700.0),
+        redial_ms: (230.0, 2100.0),
         ..sorraia()
     };
     let play = begin(site, 0, record)?;
@@ -272,7 +272,7 @@
     play.wait_until(14_000.0);
     if trouble {
         play.stop_pilot(crate::SIGKILL);
-        std::thread::sleep(crate::ms(1_500.0));
+        std::thread::sleep(crate::ms(2_500.0));
         play.start_pilot()?;
     }
     play.wait(10_000.0);
