--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -128,6 +128,7 @@
         let ticking = world.clone();
         spawn(move || {
             let mut last = ticking.now();
+            let mut next_note = 1_000.0;
             loop {
                 sleep(Duration::from_millis(2));
                 ticking.apply_due();
@@ -136,6 +137,10 @@
                     ticking.send_requests(now - last);
                     ticking.check_bare();
                     last = now;
+                    if now >= next_note {
+                        ticking.note_second();
+                        next_note += 1_000.0;
+                    }
                 }
             }
         });
@@ -467,6 +472,7 @@
                         let mut reader = BufReader::new(clone);
                         let mut writer = stream;
                         if read_request(&mut reader).is_some() && world.lock().endpoints[number].runs {
+                            world.lock().second.probes += 1;
                             while world.lock().endpoints[number].hangs {
                                 sleep(Duration::from_millis(50));
                             }
@@ -565,6 +571,7 @@
         }
         while late.first().is_some_and(|(at, _)| *at <= now) {
             let (_, lines) = late.remove(0);
+            world.lock().second.reports += lines.len();
             for (zone, collector) in collectors.iter_mut().enumerate() {
                 if collector.is_none() {
                     *collector = TcpStream::connect(play.listen).ok();
--- a/review/standin-2/proxied.rs
+++ b/review/standin-2/proxied.rs
@@ -14,7 +14,7 @@
 
 const ENDPOINTS: usize = 6;
 /// The time after which the client gives up (patience), and how much later an answer is lost.
-const PATIENCE_MS: u64 = 2_000;
+const PATIENCE_MS: u64 = 6_000;
 const LOST_AFTER_MS: u64 = 500;
 /// The time between the head with the first half of the body, and the second half.
 const HALF_MS: u64 = 300;
@@ -133,7 +133,7 @@
     let settings = format!(
         "<proxy name=\"r1\"><visits address=\"{proxy}\"/><control address=\"unix:{}\"/>\
          <choosing way=\"wheel\" shuns-after=\"5\" shuns-for=\"4s\"/>\
-         <classes><class name=\"recent-calls\" patience=\"2s\"/></classes><standing>{standing}</standing></proxy>",
+         <classes><class name=\"recent-calls\" patience=\"6s\"/></classes><standing>{standing}</standing></proxy>",
         folder.join("r1.sock").display()
     );
     std::fs::write(&path, &settings).map_err(text)?;
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -192,6 +192,21 @@
     number: u64,
 }
 
+/// What was sent and answered since the last line about it in the record.
+#[derive(Default)]
+pub struct Second {
+    /// Requests that proxies sent, and those among them that failed, by endpoint.
+    requests: BTreeMap<usize, (u32, u32)>,
+    /// Requests of proxies that had no line to pick.
+    refused: u32,
+    /// Marks that proxies answered.
+    marks: u32,
+    /// Probes that endpoints answered.
+    pub probes: u32,
+    /// Lines that collectors passed on.
+    pub reports: usize,
+}
+
 pub struct State {
     pub endpoints: Vec<Endpoint>,
     pub index: u64,
@@ -214,6 +229,7 @@
     /// How often each rule was broken.
     pub broken: BTreeMap<&'static str, usize>,
     pub record: File,
+    pub second: Second,
     pub stopping: bool,
     /// The longest time from the start of a grace to a request that was still sent.
     pub latest_drain: f64,
@@ -315,6 +331,7 @@
             discovery_moved_at: 0.0,
             broken: BTreeMap::new(),
             record,
+            second: Second::default(),
             stopping: false,
             latest_drain: 0.0,
             slower: 1.0,
@@ -578,6 +595,7 @@
                 "{{\"t\":\"done\",\"node\":{number},\"nonce\":{nonce},\"latency\":{:.1}}}\n",
                 self.site.late_ms
             );
+            state.second.marks += 1;
             if let Some(stream) = &mut proxy.stream {
                 let _ = stream.write_all(line.as_bytes());
             }
@@ -608,12 +626,16 @@
                 let (zone, joined) = (proxy.zone, proxy.joined_at);
                 let Some(picked) = proxy.pick(number, class) else {
                     proxy.refused[class] += 1;
+                    state.second.refused += 1;
                     continue;
                 };
                 let endpoint = &mut state.endpoints[picked];
                 let counts = &mut endpoint.attempts[zone];
                 counts.0 += 1;
-                counts.1 += u32::from(!endpoint.runs || endpoint.hangs);
+                let failed = u32::from(!endpoint.runs || endpoint.hangs);
+                counts.1 += failed;
+                let sent = state.second.requests.entry(picked).or_default();
+                *sent = (sent.0 + 1, sent.1 + failed);
                 endpoint.arrived += 1;
                 self.check_cold(state, picked, number, now);
                 let endpoint = &mut state.endpoints[picked];
@@ -637,6 +659,24 @@
         }
     }
 
+    /// Writes into the record what was sent and answered since the last call.
+    pub fn note_second(&self) {
+        let mut state = self.lock();
+        let Second { requests, refused, marks, probes, reports } = std::mem::take(&mut state.second);
+        let sent: u32 = requests.values().map(|(sent, _)| sent).sum();
+        let failed: u32 = requests.values().map(|(_, failed)| failed).sum();
+        let by_endpoint: Vec<String> = requests
+            .iter()
+            .map(|(endpoint, (sent, failed))| format!("{}={sent}/{failed}", state.endpoints[*endpoint].name))
+            .collect();
+        let text = format!(
+            "since the last such line: proxies sent {sent} requests, {failed} failed, {refused} found no line; \
+             {marks} marks and {probes} probes answered, {reports} lines reported; sent/failed: {}",
+            by_endpoint.join(" ")
+        );
+        self.note(&mut state, &text);
+    }
+
     /// Checks that a cold endpoint is not sent more than the multiple of what it can do within the span of the rule.
     fn check_cold(&self, state: &mut State, picked: usize, number: usize, now: f64) {
         let site = &self.site;
