Reserve the restorations and nonces that table messages carry

Cause: the platform restores every endpoint that ever drained, was removed or has a start time, while the reservation counted only endpoints whose listing changed within this controller's life. New entries reserved no restoration, complete tables no nonce.

Change: the controller holds one set of possibly ejected endpoints (src/earlier_ejections.rs); the host's messages and the reservations both follow from it.

--- a/crates/host/src/setting_values.rs
+++ b/crates/host/src/setting_values.rs
@@ -66,6 +66,7 @@
             message_overhead_entries: self
                 .number("fleet.message_head_lines")
                 .unwrap_or(default.message_overhead_entries),
+            acknowledgement_entries: default.acknowledgement_entries,
             max_messages: self.limit("fleet.messages_most"),
             message_window: self.duration("fleet.messages_span_us"),
             max_entries_per_second: self.limit("fleet.channel_lines_per_s"),
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -56,8 +56,9 @@
         let seed = seed(&value)?;
         let max_descriptors = max_descriptors(&value)?;
         let mut settings = setting_values(&value["settings"])?.to_settings();
-        // In this protocol, a proxy keeps its ejections when it reconnects.
+        // In this protocol, a proxy keeps its ejections when it reconnects, and a complete table carries a nonce.
         settings.fleet.keeps_ejections = true;
+        settings.fleet.acknowledgement_entries = 1;
         Ok(Config {
             name: string_field(&value, "name")?.to_string(),
             listen: address(&value, "listen")?,
--- a/crates/platform/src/control_plane/updates.rs
+++ b/crates/platform/src/control_plane/updates.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lockcroft::ProxyId;
+use lockcroft::{Controller, ProxyId};
 use tracing::debug;
 
 use super::{ControlPlane, Effect};
@@ -66,7 +66,7 @@
             class_names: &self.names.classes,
         };
         let pending = std::mem::take(&mut self.pending_proxies);
-        let mut messages = take_messages(pending, &mut self.streams, &view);
+        let mut messages = take_messages(pending, &mut self.streams, &view, &self.controller);
         add_nonces(&mut messages, &mut self.nonces);
         if messages.is_empty() {
             return;
@@ -98,11 +98,12 @@
     proxies: BTreeSet<ProxyId>,
     streams: &mut BTreeMap<ProxyId, ProxyStream>,
     view: &PublishedView<'a>,
+    controller: &Controller,
 ) -> Vec<ProxyMessage<'a>> {
     let mut messages = Vec::new();
     for proxy in proxies {
         let Some(stream) = streams.get_mut(&proxy).filter(|stream| !stream.is_writing) else { continue };
-        let parts = stream.next_message(view);
+        let parts = stream.next_message(view, controller);
         if !parts.is_empty() {
             stream.is_writing = true;
             messages.push(ProxyMessage { proxy, connection: stream.connection, parts });
--- a/crates/platform/src/ejections.rs
+++ b/crates/platform/src/ejections.rs
@@ -5,9 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use lockcroft::EndpointId;
-
-use crate::endpoint_list::EndpointList;
+use lockcroft::{Controller, EndpointId};
 
 /// The ejections of one proxy.
 #[derive(Debug)]
@@ -74,12 +72,12 @@
     pub fn take_earlier_ejections<'a>(
         &mut self,
         entries: impl Iterator<Item = &'a EndpointId>,
-        endpoints: &EndpointList,
+        controller: &Controller,
     ) -> Vec<EndpointId> {
         if !self.may_have_earlier {
             return Vec::new();
         }
-        let candidates = entries.copied().filter(|endpoint| endpoints.may_be_ejected(*endpoint));
+        let candidates = entries.copied().filter(|endpoint| controller.may_be_ejected(*endpoint));
         let candidates = candidates.filter(|endpoint| !self.desired.contains(endpoint));
         candidates.filter(|endpoint| self.restored.insert(*endpoint)).collect()
     }
--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -50,9 +50,6 @@
     names: NameInterner,
     addresses: BTreeMap<EndpointId, SocketAddr>,
     starts: BTreeMap<EndpointId, ProcessStart>,
-    /// Endpoints that any controller may have ejected: those that were ever removed, or reported as draining or with a
-    /// start time.
-    possibly_ejected: BTreeSet<EndpointId>,
     /// Endpoints that are currently on the list.
     listed: BTreeSet<EndpointId>,
     version: Option<u64>,
@@ -85,11 +82,6 @@
         self.listed.len()
     }
 
-    /// Returns true if a proxy may still have an ejection of this endpoint from any controller.
-    pub fn may_be_ejected(&self, endpoint: EndpointId) -> bool {
-        self.possibly_ejected.contains(&endpoint)
-    }
-
     /// Returns the current version; `None` before the first list.
     pub fn version(&self) -> Option<u64> {
         self.version
@@ -108,7 +100,7 @@
             return Err(ListError::NoUsableEntry { rejected: update.errors.len() });
         }
         if update.is_complete {
-            self.remove_unlisted(&update.records);
+            self.listed.clear();
         }
         update.records.iter().for_each(|record| self.apply_record(record));
         self.version = Some(update.version);
@@ -177,12 +169,6 @@
         start.age_when_reported + now.elapsed.saturating_sub(start.reported_at)
     }
 
-    fn remove_unlisted(&mut self, records: &[EndpointRecord]) {
-        let remaining: BTreeSet<EndpointId> = records.iter().map(|record| record.endpoint).collect();
-        self.possibly_ejected.extend(self.listed.difference(&remaining));
-        self.listed.clear();
-    }
-
     fn apply_record(&mut self, record: &EndpointRecord) {
         let endpoint = record.endpoint;
         if record.status == EndpointStatus::Removed {
@@ -190,8 +176,5 @@
         } else {
             self.listed.insert(endpoint);
         }
-        if record.status != EndpointStatus::Ready || self.starts.contains_key(&endpoint) {
-            self.possibly_ejected.insert(endpoint);
-        }
     }
 }
--- a/crates/platform/src/proxy_stream.rs
+++ b/crates/platform/src/proxy_stream.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use lockcroft::{ClassId, EndpointId, TableId};
+use lockcroft::{ClassId, Controller, EndpointId, TableId};
 use lockcroft_host::PublishedTable;
 
 use crate::assigned_table::{AssignedTable, PublishedView};
@@ -89,7 +89,11 @@
 
     /// Returns the parts of a message that brings the proxy from the last sent to the published state; none if nothing
     /// changed. The returned changes count as sent.
-    pub fn next_message<'a>(&mut self, view: &PublishedView<'a>) -> Vec<UpdatePart<'a>> {
+    pub fn next_message<'a>(
+        &mut self,
+        view: &PublishedView<'a>,
+        controller: &Controller,
+    ) -> Vec<UpdatePart<'a>> {
         let mut ejection_changes = self.ejections.take_changes();
         let mut parts = Vec::new();
         let empty = PublishedTable::default();
@@ -100,7 +104,7 @@
                 continue;
             }
             parts.extend(changes);
-            let restored = self.ejections.take_earlier_ejections(published.entries.keys(), view.endpoints);
+            let restored = self.ejections.take_earlier_ejections(published.entries.keys(), controller);
             ejection_changes.restore.extend(restored);
             assigned.record_sent(published.clone());
         }
--- a/crates/platform/tests/controller/channel.rs
+++ b/crates/platform/tests/controller/channel.rs
@@ -20,6 +20,10 @@
 /// The number of endpoints that started long ago; the others have just started.
 const OLD_ENDPOINTS: usize = 100;
 const REMOVED_ENDPOINTS: usize = 60;
+/// The number of endpoints of a controller that restarts.
+const RESTART_ENDPOINTS: usize = 24;
+/// The number of controllers of a fleet that needs no subsets.
+const RESTART_CONTROLLERS: usize = 8;
 const REMOVAL_AT: Duration = Duration::from_millis(5500);
 const FIRST_ATTACHMENT_AT: Duration = Duration::from_secs(6);
 const END_AT: Duration = Duration::from_secs(40);
@@ -113,6 +117,7 @@
     attached: usize,
     /// Returns the request rate that the proxy with this index reports.
     request_rates: fn(usize) -> f64,
+    first_attachment_at: Duration,
     attached_at: Vec<Duration>,
     /// When the first table of each proxy was written.
     table_written_at: Vec<Option<Duration>>,
@@ -129,6 +134,28 @@
 
 impl Release {
     fn new(entries_per_second: f64, proxies: usize, request_rates: fn(usize) -> f64) -> Self {
+        let since = |index: usize| if index < OLD_ENDPOINTS { 0 } else { START_UNIX_MS - 1000 };
+        let since_ms: Vec<u64> = (0..ENDPOINTS).map(since).collect();
+        Release::of_endpoints(1, &since_ms, entries_per_second, proxies, request_rates)
+    }
+
+    /// One of several controllers, to which all proxies come, that starts while all endpoints have been running for a
+    /// minute and none is removed.
+    fn restart(entries_per_second: f64, proxies: usize) -> Self {
+        let since_ms = [START_UNIX_MS - 60_000; RESTART_ENDPOINTS];
+        let release =
+            Release::of_endpoints(RESTART_CONTROLLERS, &since_ms, entries_per_second, proxies, |_| 5.0);
+        Release { removals_reported: true, first_attachment_at: Duration::ZERO, ..release }
+    }
+
+    /// One of `controllers` instances whose endpoints started at these times, in Unix milliseconds.
+    fn of_endpoints(
+        controllers: usize,
+        since_ms: &[u64],
+        entries_per_second: f64,
+        proxies: usize,
+        request_rates: fn(usize) -> f64,
+    ) -> Self {
         let mut settings = config();
         for (name, value) in [
             ("agents", 500.0),
@@ -138,11 +165,11 @@
         ] {
             settings["settings"]["specifics"][name] = json!(value);
         }
+        settings["settings"]["fleet_size"] = json!(controllers);
         let mut control_plane =
             ControlPlane::new(&Config::parse(&settings.to_string()).expect("valid configuration"));
-        let names: Vec<String> = (0..ENDPOINTS).map(|index| format!("s-{index}")).collect();
-        let since = |index: usize| if index < OLD_ENDPOINTS { 0 } else { START_UNIX_MS - 1000 };
-        let entries = names.iter().enumerate().map(|(index, name)| entry(name, "up", since(index)));
+        let names: Vec<String> = (0..since_ms.len()).map(|index| format!("s-{index}")).collect();
+        let entries = names.iter().zip(since_ms).map(|(name, since_ms)| entry(name, "up", *since_ms));
         let complete = list(2, true, &entries.collect::<Vec<Value>>());
         control_plane.update_endpoints(Duration::ZERO, START_UNIX_MS, &complete).expect("valid list");
         Release {
@@ -153,6 +180,7 @@
             removals_reported: false,
             attached: 0,
             request_rates,
+            first_attachment_at: FIRST_ATTACHMENT_AT,
             attached_at: Vec::new(),
             table_written_at: vec![None; proxies],
         }
@@ -171,7 +199,7 @@
         let last = written_at.max().unwrap_or(self.now);
         ReleaseResult {
             max_queued_entries: self.channel.max_queued_entries,
-            last_table_after: last - FIRST_ATTACHMENT_AT,
+            last_table_after: last - self.first_attachment_at,
             longest_wait: self.longest_wait(),
         }
     }
@@ -203,7 +231,7 @@
 
     fn attach_proxies(&mut self, interval: Duration) {
         while self.attached < self.table_written_at.len()
-            && FIRST_ATTACHMENT_AT + interval * self.attached as u32 <= self.now
+            && self.first_attachment_at + interval * self.attached as u32 <= self.now
         {
             let connection = self.attached as ConnectionId;
             let request_rate = (self.request_rates)(self.attached);
@@ -269,6 +297,17 @@
     assert!(result.longest_wait <= Duration::from_millis(3800), "{:?}", result.longest_wait);
 }
 
+/// Guards against a queue beyond its limit after a restart: most proxies attach before the first table, and a message
+/// that restores the endpoints of all entries was reserved as if it had the entries alone.
+#[test]
+fn tables_of_proxies_that_all_attach_before_the_first_one_keep_the_queue_limit() {
+    for slower in [1.0, 8.0] {
+        let release = Release::restart(CONFIGURED_RATE / slower, 430);
+        let max_queued = release.run(Duration::from_millis(1)).max_queued_entries;
+        assert!(max_queued <= MAX_QUEUED_ENTRIES, "{max_queued} queued entries, {slower} times slower");
+    }
+}
+
 #[test]
 fn a_channel_far_slower_than_configured_stays_within_its_queue_limit() {
     for slower in [1.0, 4.0, 8.0] {
--- a/src/controller/applying.rs
+++ b/src/controller/applying.rs
@@ -71,8 +71,10 @@
         table: TableId,
         endpoint: EndpointId,
     ) -> Result<Action, NoCapacity> {
-        self.try_reserve(now, priority, 1, Recipients::OnTable(table))?;
         let weight = self.tables[table].desired_weight(endpoint);
+        let is_new_entry = weight > 0.0 && self.tables[table].published_weight(endpoint) == 0.0;
+        let restorations = usize::from(is_new_entry && self.is_restored_with_entry(endpoint));
+        self.try_reserve(now, priority, 1 + restorations, Recipients::OnTable(table))?;
         self.tables[table].published.insert(endpoint, weight);
         Ok(Action::SetWeight { table, endpoint, weight })
     }
@@ -110,11 +112,9 @@
         }
         let classes: Vec<ClassId> = self.admissions_at(table).map(|admission| admission.class).collect();
         let has_no_table = self.proxies.get(proxy).is_some_and(|state| state.has_no_table);
-        // A proxy may keep ejections from an earlier controller; these end with an additional entry for each
-        // endpoint that is restored.
-        let keeps_ejections = !has_no_table && self.settings.fleet.keeps_ejections;
-        let restorations = if keeps_ejections { self.possibly_ejected_entries(table) } else { 0 };
-        let cost = 1 + classes.len() + entries + restorations;
+        let restorations = if has_no_table { 0 } else { self.entries_to_restore(table) };
+        let acknowledgement = self.settings.fleet.acknowledgement_entries;
+        let cost = 1 + classes.len() + entries + restorations + acknowledgement;
         self.try_reserve(now, priority, cost, Recipients::Proxy(proxy))?;
         self.proxies.assign(proxy, table);
         if !has_no_table && self.proxies_eject_endpoints() {
@@ -123,11 +123,16 @@
         Ok(Action::AssignTable { table, classes, proxy })
     }
 
-    /// Returns the number of entries of a table whose endpoints some controller may have ejected.
-    fn possibly_ejected_entries(&self, table: TableId) -> usize {
+    /// Returns the number of entries of a table that are sent with a restoration of their endpoint.
+    fn entries_to_restore(&self, table: TableId) -> usize {
         let published = self.tables[table].published.iter().filter(|(_, weight)| **weight > 0.0);
-        let endpoints = published.filter_map(|(endpoint, _)| self.endpoints.get(endpoint));
-        endpoints.filter(|state| state.list_changed_at.is_some()).count()
+        published.filter(|(endpoint, _)| self.is_restored_with_entry(**endpoint)).count()
+    }
+
+    /// Returns true if the message that first sends an entry of this endpoint on a stream also restores the
+    /// endpoint, as the proxy may keep an ejection from an earlier controller.
+    fn is_restored_with_entry(&self, endpoint: EndpointId) -> bool {
+        self.settings.fleet.keeps_ejections && self.may_be_ejected(endpoint)
     }
 
     /// Returns true if proxies eject endpoints on their own.
--- a/src/controller/inputs.rs
+++ b/src/controller/inputs.rs
@@ -31,14 +31,15 @@
     ) {
         self.list_changed_before_start |= self.endpoints.is_empty() && version > 0;
         self.plan_is_stale = true;
-        if is_complete && self.removal_forbids_requests() {
-            self.remove_unlisted(now, records);
+        if is_complete {
+            self.record_unlisted(now, records);
         }
         if self.tables.is_empty() && !records.is_empty() {
             self.build_layout(records.len());
         }
         self.add_new(records);
         for record in records {
+            self.earlier_ejections.record_change(record);
             self.update_record(now, record);
         }
     }
@@ -48,9 +49,15 @@
         !self.settings.rules.ignore_removals
     }
 
-    fn remove_unlisted(&mut self, now: Duration, records: &[EndpointRecord]) {
+    /// Records the endpoints that a complete list no longer contains.
+    fn record_unlisted(&mut self, now: Duration, records: &[EndpointRecord]) {
         let listed: BTreeSet<EndpointId> = records.iter().map(|record| record.endpoint).collect();
-        for (_, state) in self.endpoints.iter_mut().filter(|(endpoint, _)| !listed.contains(endpoint)) {
+        let is_unlisted = |endpoint: &EndpointId| !listed.contains(endpoint);
+        self.earlier_ejections.record_removed(self.endpoints.keys().copied().filter(is_unlisted));
+        if !self.removal_forbids_requests() {
+            return;
+        }
+        for (_, state) in self.endpoints.iter_mut().filter(|(endpoint, _)| is_unlisted(endpoint)) {
             if !state.is_not_ready() {
                 state.list_changed_at = Some(now);
             }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use crate::earlier_ejections::EarlierEjections;
 use crate::health::HealthCheckSchedule;
 use crate::load_shedding::ClassAdmission;
 use crate::proxies::ProxySet;
@@ -47,6 +48,7 @@
     /// The admission of each class at each table, sorted by value density, lowest first.
     admissions: Vec<ClassAdmission>,
     endpoints: BTreeMap<EndpointId, EndpointState>,
+    earlier_ejections: EarlierEjections,
     proxies: ProxySet,
     channel: UpdateChannel,
     health_checks: HealthCheckSchedule,
@@ -83,6 +85,7 @@
             tables: Vec::new(),
             admissions: Vec::new(),
             endpoints: BTreeMap::new(),
+            earlier_ejections: EarlierEjections::default(),
             proxies: ProxySet::default(),
             channel: UpdateChannel::default(),
             health_checks: HealthCheckSchedule::default(),
@@ -115,6 +118,13 @@
         self.health_checks.next_due().map_or(self.next_tick, |due| self.next_tick.min(due))
     }
 
+    /// Returns true if a proxy may still have ejected this endpoint by order of an earlier controller. If proxies
+    /// keep their ejections, the host restores such endpoints once per stream, with their entries.
+    #[must_use]
+    pub fn may_be_ejected(&self, endpoint: EndpointId) -> bool {
+        self.earlier_ejections.contains(endpoint)
+    }
+
     /// Returns the next action that is due at `now`; `None` if there is none left. `now` must not decrease.
     pub fn next_action(&mut self, now: Duration) -> Option<Action> {
         self.advance_time(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `weights`: the desired weights, a pure function of the above,
 //! - `subsets`: the division of a large fleet into subsets, and spillover between them,
 //! - `publish`: the updates that are due, and their order,
+//! - `earlier_ejections`: the endpoints that proxies may have ejected by order of an earlier controller,
 //! - `rate_limit`: the capacity of the channel for these updates,
 //! - `startup_hold`: nothing is published until health checks have converged.
 
@@ -20,6 +21,7 @@
 
 mod attempt_stats;
 mod controller;
+mod earlier_ejections;
 mod health;
 mod health_state;
 mod load_shedding;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -100,6 +100,9 @@
     pub message_delay: Duration,
     /// The cost of one message in the channel, beside its entries, as a number of entries.
     pub message_overhead_entries: f64,
+    /// The number of entries that a message with a complete table has in addition, to request its
+    /// acknowledgement.
+    pub acknowledgement_entries: usize,
     /// The number of messages that one proxy may get within [`FleetSettings::message_window`].
     pub max_messages: f64,
     /// The time window in which the messages to a proxy are counted.
@@ -128,6 +131,7 @@
             report_period: Duration::ZERO,
             message_delay: Duration::ZERO,
             message_overhead_entries: 0.0,
+            acknowledgement_entries: 0,
             max_messages: f64::INFINITY,
             message_window: Duration::ZERO,
             max_entries_per_second: f64::INFINITY,
--- a/tests/controller/regressions.rs
+++ b/tests/controller/regressions.rs
@@ -638,3 +638,35 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// Guards against a queue beyond its limit when many endpoints return: their entries are sent with restorations,
+/// which were not reserved.
+#[test]
+fn entries_of_returning_endpoints_are_reserved_with_their_restorations() {
+    const PROXIES: usize = 10;
+    const MAX_QUEUED_ENTRIES: usize = 180;
+    let keep_ejections = |settings: &mut Settings| {
+        settings.health_checks_allowed = false;
+        settings.fleet.keeps_ejections = true;
+        settings.fleet.max_queued_entries = MAX_QUEUED_ENTRIES as f64;
+    };
+    let mut fleet = TestFleet::with(12, keep_ejections);
+    (0..PROXIES).for_each(|proxy| {
+        fleet.attach(proxy);
+    });
+    let removed: Vec<_> = (4..12).map(|endpoint| with_status(endpoint, EndpointStatus::Removed)).collect();
+    fleet.run_until(7000).update_list(&removed).run_until(9000).clear_trace();
+    fleet.update_list(&(4..12).map(ready).collect::<Vec<_>>()).run_until(9000);
+    let first = loop {
+        let end = fleet.now.as_millis() as u64 + 10;
+        let trace = fleet.run_until(end).lines_with(&["table 0: endpoint"]);
+        if !trace.is_empty() {
+            break trace;
+        }
+        assert!(end < 20_000, "no entry was sent");
+    };
+    let entries_and_restorations = 2 * first.lines().count();
+    let message_overhead = 4;
+    let queued = PROXIES * (entries_and_restorations + message_overhead);
+    assert!(queued <= MAX_QUEUED_ENTRIES, "{queued} queued entries:\n{first}");
+}
