Restore earlier ejections also at proxies without a table

Cause: 'cold' in an attachment was taken for 'has no ejections'. It says only that no ordered table is held. A proxy whose stream broke between an ejection in the start-up hold and its first table kept the ejection for ever.

Change: a stream restores what may be ejected whatever the proxy says of tables, and reserves it.

--- a/crates/platform/src/control_plane/sessions.rs
+++ b/crates/platform/src/control_plane/sessions.rs
@@ -93,7 +93,7 @@
         );
         self.roles.insert(connection, Role::Proxy(proxy));
         self.admission.record_attached(connection);
-        self.streams.insert(proxy, ProxyStream::new(connection, without_table));
+        self.streams.insert(proxy, ProxyStream::new(connection));
         self.controller.attach_proxy(now, proxy, zone, request_rate, without_table);
     }
 
--- a/crates/platform/src/ejections.rs
+++ b/crates/platform/src/ejections.rs
@@ -1,6 +1,6 @@
 //! The endpoints that are ejected at a proxy, and the ejections that were sent on its stream.
 //!
-//! A proxy keeps its ejections when it reconnects and does not report them. So endpoints that any controller may have
+//! A proxy keeps its ejections when it reconnects and does not report them, also before it has its first table. So endpoints that any controller may have
 //! ejected are restored once per stream, in the message that sends their entries.
 
 use std::collections::BTreeSet;
@@ -8,10 +8,8 @@
 use lockcroft::{Controller, EndpointId};
 
 /// The ejections of one proxy.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ProxyEjections {
-    /// True if the proxy may have ejections from an earlier stream.
-    may_have_earlier: bool,
     /// Endpoints that should be ejected.
     desired: BTreeSet<EndpointId>,
     /// Ejections that were sent on this stream and not restored since.
@@ -35,17 +33,6 @@
 }
 
 impl ProxyEjections {
-    /// Creates the state for a new stream. `without_table` is true if the proxy has no table, and so no ejections, from
-    /// any controller.
-    pub fn new(without_table: bool) -> Self {
-        ProxyEjections {
-            may_have_earlier: !without_table,
-            desired: BTreeSet::new(),
-            sent: BTreeSet::new(),
-            restored: BTreeSet::new(),
-        }
-    }
-
     /// Ejects an endpoint.
     pub fn eject(&mut self, endpoint: EndpointId) {
         self.desired.insert(endpoint);
@@ -74,9 +61,6 @@
         entries: impl Iterator<Item = &'a EndpointId>,
         controller: &Controller,
     ) -> Vec<EndpointId> {
-        if !self.may_have_earlier {
-            return Vec::new();
-        }
         let candidates = entries.copied().filter(|endpoint| controller.may_be_ejected(*endpoint));
         let candidates = candidates.filter(|endpoint| !self.desired.contains(endpoint));
         candidates.filter(|endpoint| self.restored.insert(*endpoint)).collect()
--- a/crates/platform/src/proxy_stream.rs
+++ b/crates/platform/src/proxy_stream.rs
@@ -37,12 +37,12 @@
 }
 
 impl ProxyStream {
-    /// Creates a stream without tables. `without_table` is true if the proxy has no table from any controller.
-    pub fn new(connection: ConnectionId, without_table: bool) -> Self {
+    /// Creates a stream without tables.
+    pub fn new(connection: ConnectionId) -> Self {
         ProxyStream {
             connection,
             tables: BTreeMap::new(),
-            ejections: ProxyEjections::new(without_table),
+            ejections: ProxyEjections::default(),
             is_writing: false,
             pending_nonces: VecDeque::new(),
         }
--- a/crates/platform/tests/controller/interleavings.rs
+++ b/crates/platform/tests/controller/interleavings.rs
@@ -1,4 +1,4 @@
-//! Random sequences of list updates, attachments, detachments, decisions and stalled writes. At the end, all attached
+//! Random sequences of list updates, attachments, detachments, decisions, stalled writes and restarts. At the end, all attached
 //! proxies have the same table, and none may send to an endpoint that is draining or removed.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,13 +26,16 @@
     /// Discovery reports the complete list instead of a change.
     CompleteList,
     TimePasses(u64),
+    /// The controller is killed and starts from nothing; proxies keep what they hold.
+    ControllerRestarts,
 }
 
 /// The state of a proxy, which keeps its ejections and its table when it reconnects.
 #[derive(Default)]
 struct Proxy {
     connection: Option<ConnectionId>,
-    has_attached_before: bool,
+    /// True once it has applied a complete table; an ejection is not a table.
+    has_table: bool,
     table: BTreeMap<String, f64>,
     ejected: BTreeSet<String>,
     stalled: bool,
@@ -42,7 +45,9 @@
 
 struct Simulation {
     control_plane: ControlPlane,
+    /// The time since the controller's start.
     now: Duration,
+    controller_started_unix_ms: u64,
     list_version: u64,
     connection: ConnectionId,
     proxies: Vec<Proxy>,
@@ -61,6 +66,7 @@
         Simulation {
             control_plane,
             now,
+            controller_started_unix_ms: START_UNIX_MS,
             list_version: 0,
             connection: 0,
             proxies,
@@ -78,9 +84,8 @@
         match step {
             Step::ProxyAttaches(at) => {
                 self.connection += 1;
-                let without_table = !std::mem::replace(&mut self.proxies[*at].has_attached_before, true);
-                let line =
-                    json!({"t": "attach", "node": at, "locality": "a", "w": 5.0, "cold": without_table});
+                let cold = !self.proxies[*at].has_table;
+                let line = json!({"t": "attach", "node": at, "locality": "a", "w": 5.0, "cold": cold});
                 self.proxies[*at].connection = Some(self.connection);
                 self.proxies[*at].unread = None;
                 self.control_plane.connection_accepted(self.now, self.connection);
@@ -100,9 +105,7 @@
             }
             Step::EndpointDrains(at) => self.change_endpoint(*at, "draining", self.endpoints[*at].1),
             Step::EndpointIsRemoved(at) => self.change_endpoint(*at, "removed", self.endpoints[*at].1),
-            Step::EndpointStarts(at) => {
-                self.change_endpoint(*at, "up", START_UNIX_MS + self.now.as_millis() as u64)
-            }
+            Step::EndpointStarts(at) => self.change_endpoint(*at, "up", self.unix_ms()),
             Step::CompleteList => {
                 self.list_version += 1;
                 self.report_list(true, &Simulation::entries(&self.endpoints));
@@ -114,7 +117,24 @@
                     self.decide();
                 }
             }
+            Step::ControllerRestarts => self.restart_controller(),
+        }
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.controller_started_unix_ms + self.now.as_millis() as u64
+    }
+
+    fn restart_controller(&mut self) {
+        self.controller_started_unix_ms = self.unix_ms();
+        self.now = Duration::ZERO;
+        self.control_plane = Harness::without_endpoints().control_plane;
+        self.acknowledgements.clear();
+        for proxy in &mut self.proxies {
+            proxy.connection = None;
+            proxy.unread = None;
         }
+        self.report_list(true, &Simulation::entries(&self.endpoints));
     }
 
     fn change_endpoint(&mut self, at: usize, state: &'static str, since: u64) {
@@ -130,7 +150,7 @@
     }
 
     fn report_list(&mut self, is_complete: bool, entries: &[Value]) {
-        let unix_ms = START_UNIX_MS + self.now.as_millis() as u64;
+        let unix_ms = self.unix_ms();
         self.control_plane
             .update_endpoints(self.now, unix_ms, &list(self.list_version, is_complete, entries))
             .expect("valid list");
@@ -178,6 +198,7 @@
             };
             if part["full"] == true {
                 proxy.table.clear();
+                proxy.has_table = true;
             }
             for line in part["endpoints"].as_array().into_iter().flatten() {
                 proxy
@@ -205,6 +226,7 @@
         2 => (0..ENDPOINTS).prop_map(Step::EndpointStarts),
         1 => Just(Step::CompleteList),
         4 => (0..40_u64).prop_map(|steps| Step::TimePasses(steps * 100)),
+        1 => Just(Step::ControllerRestarts),
     ]
 }
 
--- a/crates/platform/tests/controller/updates.rs
+++ b/crates/platform/tests/controller/updates.rs
@@ -39,15 +39,32 @@
 #[test]
 fn ejections_of_other_controllers_are_restored_with_their_entries() {
     let mut harness = Harness::new();
-    // The endpoint started 12 s ago and its slow start is over, so another controller may have ejected it since.
+    // The endpoint started 12 s ago and its slow start is over, so another controller may have ejected it since, also
+    // at a proxy whose stream broke before its first table.
     harness.update_list(&list(2, false, &[entry("s-bb", "up", START_UNIX_MS - 12_000)]));
     harness.attach(1, 3, false).attach(2, 4, true);
     expect![[r#"
         5.0 1 < {"t":"assign","full":true,"endpoints":[["s-a",1.0],["s-bb",1.0],["s-ccc",1.0],["s-dddd",1.0]],"admit":1.0,"policy":1,"restore":["s-bb"],"nonce_out":0}
-        5.0 2 < {"t":"assign","full":true,"endpoints":[["s-a",1.0],["s-bb",1.0],["s-ccc",1.0],["s-dddd",1.0]],"admit":1.0,"policy":1,"nonce_out":1}
+        5.0 2 < {"t":"assign","full":true,"endpoints":[["s-a",1.0],["s-bb",1.0],["s-ccc",1.0],["s-dddd",1.0]],"admit":1.0,"policy":1,"restore":["s-bb"],"nonce_out":1}
     "#]].assert_eq(&harness.run_to(6.0));
 }
 
+/// Guards against an endpoint that stays ejected for ever: the stream of a proxy breaks between an ejection and the
+/// first table, and the proxy attaches again without a table, but with the ejection.
+#[test]
+fn an_ejection_on_a_stream_that_broke_before_the_first_table_ends_on_the_next() {
+    let mut harness = Harness::new();
+    harness.update_list(&list(2, false, &[entry("s-bb", "up", START_UNIX_MS - 1000)]));
+    harness.attach(1, 3, true);
+    let before = harness.run_to(0.2);
+    assert!(before.contains(r#""eject":["s-bb"]"#), "{before}");
+    harness.control_plane.connection_closed(1);
+    harness.run_to(6.0);
+    harness.attach(2, 3, true);
+    let after = harness.run_to(20.0);
+    assert!(after.contains(r#""restore":["s-bb"]"#), "{after}");
+}
+
 #[test]
 fn an_endpoint_that_drains_during_the_startup_hold_is_ejected_and_restored() {
     let mut harness = Harness::new();
--- a/src/controller/applying.rs
+++ b/src/controller/applying.rs
@@ -111,12 +111,11 @@
             return Err(NoCapacity::ForUpdate);
         }
         let classes: Vec<ClassId> = self.admissions_at(table).map(|admission| admission.class).collect();
-        let has_no_table = self.proxies.get(proxy).is_some_and(|state| state.has_no_table);
-        let restorations = if has_no_table { 0 } else { self.entries_to_restore(table) };
         let acknowledgement = self.settings.fleet.acknowledgement_entries;
-        let cost = 1 + classes.len() + entries + restorations + acknowledgement;
+        let cost = 1 + classes.len() + entries + self.entries_to_restore(table) + acknowledgement;
         self.try_reserve(now, priority, cost, Recipients::Proxy(proxy))?;
         self.proxies.assign(proxy, table);
+        let has_no_table = self.proxies.get(proxy).is_some_and(|state| state.has_no_table);
         if !has_no_table && self.proxies_eject_endpoints() {
             self.mark_unstable(now, self.tables[table].subset);
         }
