Send updates that do not share the recipients of one without messages left

Cause: drop_updates_behind treated a limit on the messages of some recipients like a full queue, though only a full queue is shared by all updates.

Evidence: drain_of_a_subset_is_sent_while_another_has_no_messages_left fails without the change.

Change: only a full queue holds back what comes later in the plan.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -137,7 +137,8 @@
             }
             match self.apply(now, pending) {
                 Ok(action) => return Some(action),
-                Err(reason) => self.drop_updates_behind(pending, reason),
+                Err(NoCapacity::InQueue) => self.drop_updates_behind(pending),
+                Err(NoCapacity::ForUpdate) => {}
             }
         }
         self.ready_actions.pop_front()
@@ -150,14 +151,13 @@
         self.endpoints[&endpoint].ejected_up_to_generation >= self.newest_unassigned_generation()
     }
 
-    /// Drops from the plan the updates that must not overtake one for which there was no capacity. Updates of
-    /// higher priority and assignments always stay. All others stay as well if the waiting update is an
-    /// assignment, as only its proxy waits, unless it is urgent and the queue is full: shorter updates that
-    /// became pending later would then fill the queue first.
-    fn drop_updates_behind(&mut self, waiting: PendingUpdate, reason: NoCapacity) {
+    /// Drops from the plan the updates that must not overtake one for which the queue had no capacity. Updates
+    /// of higher priority and assignments always stay. All others stay as well if the waiting update is an
+    /// assignment, as only its proxy waits, unless it is urgent: shorter updates that became pending later would
+    /// then fill the queue first.
+    fn drop_updates_behind(&mut self, waiting: PendingUpdate) {
         let is_assignment = |update: Update| matches!(update, Update::AssignTable(..));
-        let is_urgent_in_full_queue = reason == NoCapacity::InQueue && waiting.priority == Priority::Drain;
-        let only_one_proxy_waits = is_assignment(waiting.update) && !is_urgent_in_full_queue;
+        let only_one_proxy_waits = is_assignment(waiting.update) && waiting.priority != Priority::Drain;
         self.pending.retain(|pending| {
             only_one_proxy_waits || pending.priority > waiting.priority || is_assignment(pending.update)
         });
--- a/tests/controller/main.rs
+++ b/tests/controller/main.rs
@@ -2,6 +2,7 @@
 
 mod health_checks;
 mod mass_attachment;
+mod message_pacing;
 mod ordinary_path;
 mod planned_weights;
 mod recorded;
