Let drains share messages before the limit on messages is reached

Cause: each drain was sent as a message of its own in the tick of its report, with common updates in between. After 19 of 20 messages none was left for 5 s, whatever remained of a drain's grace period.

Change: an update opens a message only if its proxies can still get one message per interval afterwards. Otherwise it waits to share one, a drain until its share of the grace period is over; common updates stay in the plan and join.

--- a/src/controller/applying.rs
+++ b/src/controller/applying.rs
@@ -5,46 +5,46 @@
 use super::Controller;
 use crate::load_shedding::ClassAdmission;
 use crate::proxies::Recipients;
-use crate::publish::{PendingUpdate, Priority, Update};
+use crate::publish::{PendingUpdate, Update};
 use crate::rate_limit::{NoCapacity, Reservation};
 use crate::{Action, ClassId, EndpointId, ProxyId, TableId};
 
 impl Controller {
     /// Applies an update and returns its action, or the reason why the channel has no capacity for it.
     pub(super) fn apply(&mut self, now: Duration, pending: PendingUpdate) -> Result<Action, NoCapacity> {
-        let PendingUpdate { priority, update, .. } = pending;
-        match update {
-            Update::Eject(endpoint) => self.apply_ejection(now, priority, endpoint),
-            Update::Restore(endpoint) => self.apply_restoration(now, priority, endpoint),
-            Update::SetWeight(table, endpoint) => self.apply_weight(now, priority, table, endpoint),
+        match pending.update {
+            Update::Eject(endpoint) => self.apply_ejection(now, pending, endpoint),
+            Update::Restore(endpoint) => self.apply_restoration(now, pending, endpoint),
+            Update::SetWeight(table, endpoint) => self.apply_weight(now, pending, table, endpoint),
             Update::SetAdmission { admission, fraction } => {
-                self.apply_admission(now, priority, admission, fraction)
+                self.apply_admission(now, pending, admission, fraction)
             }
-            Update::AssignTable(table, proxy) => self.apply_assignment(now, priority, table, proxy),
+            Update::AssignTable(table, proxy) => self.apply_assignment(now, pending, table, proxy),
         }
     }
 
     fn try_reserve(
         &mut self,
         now: Duration,
-        priority: Priority,
+        pending: PendingUpdate,
         entries: usize,
         recipients: Recipients,
     ) -> Result<(), NoCapacity> {
-        let reservation = Reservation { entries, recipients, priority };
+        let PendingUpdate { priority, pending_since, .. } = pending;
+        let reservation = Reservation { entries, recipients, priority, pending_since };
         self.channel.try_reserve(&mut self.proxies, &self.settings.fleet, now, reservation)
     }
 
     fn apply_ejection(
         &mut self,
         now: Duration,
-        priority: Priority,
+        pending: PendingUpdate,
         endpoint: EndpointId,
     ) -> Result<Action, NoCapacity> {
         let attached_after = self.endpoints[&endpoint].ejected_up_to_generation;
         let not_yet_notified =
             Recipients::OnFewerTables { than: self.layout.tables_per_subset, attached_after };
-        self.try_reserve(now, priority, 1, not_yet_notified)?;
+        self.try_reserve(now, pending, 1, not_yet_notified)?;
         let state = self.endpoints.get_mut(&endpoint).ok_or(NoCapacity::ForUpdate)?;
         state.ejected = true;
         state.ejected_up_to_generation = self.proxies.latest_generation();
@@ -54,10 +54,10 @@
     fn apply_restoration(
         &mut self,
         now: Duration,
-        priority: Priority,
+        pending: PendingUpdate,
         endpoint: EndpointId,
     ) -> Result<Action, NoCapacity> {
-        self.try_reserve(now, priority, 1, Recipients::ALL)?;
+        self.try_reserve(now, pending, 1, Recipients::ALL)?;
         let state = self.endpoints.get_mut(&endpoint).ok_or(NoCapacity::ForUpdate)?;
         state.ejected = false;
         state.ejected_up_to_generation = 0;
@@ -67,14 +67,14 @@
     fn apply_weight(
         &mut self,
         now: Duration,
-        priority: Priority,
+        pending: PendingUpdate,
         table: TableId,
         endpoint: EndpointId,
     ) -> Result<Action, NoCapacity> {
         let weight = self.tables[table].desired_weight(endpoint);
         let is_new_entry = weight > 0.0 && self.tables[table].published_weight(endpoint) == 0.0;
         let restorations = usize::from(is_new_entry && self.is_restored_with_entry(endpoint));
-        self.try_reserve(now, priority, 1 + restorations, Recipients::OnTable(table))?;
+        self.try_reserve(now, pending, 1 + restorations, Recipients::OnTable(table))?;
         self.tables[table].published.insert(endpoint, weight);
         Ok(Action::SetWeight { table, endpoint, weight })
     }
@@ -82,12 +82,12 @@
     fn apply_admission(
         &mut self,
         now: Duration,
-        priority: Priority,
+        pending: PendingUpdate,
         admission: usize,
         fraction: f64,
     ) -> Result<Action, NoCapacity> {
         let ClassAdmission { table, class, .. } = self.admissions[admission];
-        self.try_reserve(now, priority, 1, Recipients::OnTable(table))?;
+        self.try_reserve(now, pending, 1, Recipients::OnTable(table))?;
         let latency_ratio = self.tables[table].latency_ratio;
         let admission = &mut self.admissions[admission];
         if admission.published.replace(fraction).is_some_and(|previous| previous != fraction) {
@@ -102,7 +102,7 @@
     fn apply_assignment(
         &mut self,
         now: Duration,
-        priority: Priority,
+        pending: PendingUpdate,
         table: TableId,
         proxy: ProxyId,
     ) -> Result<Action, NoCapacity> {
@@ -113,7 +113,7 @@
         let classes: Vec<ClassId> = self.admissions_at(table).map(|admission| admission.class).collect();
         let acknowledgement = self.settings.fleet.acknowledgement_entries;
         let cost = 1 + classes.len() + entries + self.entries_to_restore(table) + acknowledgement;
-        self.try_reserve(now, priority, cost, Recipients::Proxy(proxy))?;
+        self.try_reserve(now, pending, cost, Recipients::Proxy(proxy))?;
         self.proxies.assign(proxy, table);
         let has_no_table = self.proxies.get(proxy).is_some_and(|state| state.has_no_table);
         if !has_no_table && self.proxies_eject_endpoints() {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -18,6 +18,7 @@
 use crate::earlier_ejections::EarlierEjections;
 use crate::health::HealthCheckSchedule;
 use crate::load_shedding::ClassAdmission;
+use crate::message_pacing::MessagePacing;
 use crate::proxies::ProxySet;
 use crate::publish::{PendingUpdate, Priority, Update};
 use crate::random::Random;
@@ -61,6 +62,10 @@
     ready_actions: VecDeque<Action>,
     /// The updates of the last plan that are still to be sent.
     pending: VecDeque<PendingUpdate>,
+    /// Updates of the last plan that wait to share a message with others.
+    deferred: VecDeque<PendingUpdate>,
+    /// The time at which the first of these may wait no longer.
+    deferred_due: Option<Duration>,
     /// True if a new plan is needed.
     plan_is_stale: bool,
     /// True if the next plan includes common updates.
@@ -79,6 +84,7 @@
     #[must_use]
     pub fn new(settings: Settings, seed: u64) -> Self {
         Controller {
+            channel: UpdateChannel::new(MessagePacing::new(&settings)),
             settings,
             random: Random::new(seed),
             layout: SubsetLayout::default(),
@@ -87,13 +93,14 @@
             endpoints: BTreeMap::new(),
             earlier_ejections: EarlierEjections::default(),
             proxies: ProxySet::default(),
-            channel: UpdateChannel::default(),
             health_checks: HealthCheckSchedule::default(),
             stability: Stability::default(),
             spillover: Vec::new(),
             list_changed_before_start: false,
             ready_actions: VecDeque::new(),
             pending: VecDeque::new(),
+            deferred: VecDeque::new(),
+            deferred_due: None,
             plan_is_stale: false,
             publishing: false,
             next_tick: Duration::ZERO,
@@ -115,7 +122,8 @@
     /// Returns the time at which [`Controller::next_action`] has to be called at the latest.
     #[must_use]
     pub fn next_due(&self) -> Duration {
-        self.health_checks.next_due().map_or(self.next_tick, |due| self.next_tick.min(due))
+        let others = [self.health_checks.next_due(), self.deferred_due];
+        others.into_iter().flatten().fold(self.next_tick, Duration::min)
     }
 
     /// Returns true if a proxy may still have ejected this endpoint by order of an earlier controller. If proxies
@@ -137,11 +145,36 @@
             }
             match self.apply(now, pending) {
                 Ok(action) => return Some(action),
+                Err(NoCapacity::InMessages { due_at }) => self.defer(pending, due_at),
                 Err(NoCapacity::InQueue) => self.drop_updates_behind(pending),
                 Err(NoCapacity::ForUpdate) => {}
             }
         }
-        self.ready_actions.pop_front()
+        self.next_deferred(now).or_else(|| self.ready_actions.pop_front())
+    }
+
+    /// Keeps an update that waits until `due_at` at most to share a message with others. A common update stays
+    /// in all plans until it is sent, so that it can share the message of a drain.
+    fn defer(&mut self, pending: PendingUpdate, due_at: Duration) {
+        self.deferred.push_back(pending);
+        if pending.priority == Priority::Common {
+            self.publishing = true;
+        } else {
+            self.deferred_due = Some(self.deferred_due.map_or(due_at, |due| due.min(due_at)));
+        }
+    }
+
+    /// Returns the next deferred update whose recipients all get a message in this batch anyway, and drops the
+    /// others, as the next plan contains them again.
+    fn next_deferred(&mut self, now: Duration) -> Option<Action> {
+        while let Some(pending) = self.deferred.pop_front() {
+            if !self.is_already_ejected(pending.update)
+                && let Ok(action) = self.apply(now, pending)
+            {
+                return Some(action);
+            }
+        }
+        None
     }
 
     /// Returns true if the update is an ejection that all proxies concerned have been sent since the plan was
@@ -165,6 +198,10 @@
 
     /// Starts health checks, evaluates reports and requests plans that are due at `now`.
     fn advance_time(&mut self, now: Duration) {
+        if self.deferred_due.is_some_and(|due| due <= now) {
+            self.deferred_due = None;
+            self.plan_is_stale = true;
+        }
         let started = self.health_checks.start_due(now, &mut self.endpoints, &mut self.random);
         self.ready_actions.extend(started.into_iter().map(Action::CheckHealth));
         if now < self.next_tick {
--- a/src/controller/planning.rs
+++ b/src/controller/planning.rs
@@ -32,6 +32,7 @@
         ranked.extend(self.assignments());
         updates.extend(order_updates(now, ranked, ejections));
         self.pending = updates.into();
+        self.deferred_due = None;
     }
 
     fn plan_inputs(&self, now: Duration) -> PlanInputs<'_> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `publish`: the updates that are due, and their order,
 //! - `earlier_ejections`: the endpoints that proxies may have ejected by order of an earlier controller,
 //! - `rate_limit`: the capacity of the channel for these updates,
+//! - `message_pacing`: which updates wait to share a message,
 //! - `startup_hold`: nothing is published until health checks have converged.
 
 #![warn(missing_docs)]
@@ -25,6 +26,7 @@
 mod health;
 mod health_state;
 mod load_shedding;
+mod message_pacing;
 mod outlier;
 mod proxies;
 mod publish;
--- a/src/proxies.rs
+++ b/src/proxies.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use crate::message_pacing::MessagePacing;
 use crate::{ProxyId, TableId, ZoneId};
 
 /// A proxy that is attached to this controller.
@@ -53,6 +54,11 @@
         self.messages.len()
     }
 
+    /// Returns true if the pacing allows a message to it at `now`. Messages that left the window are dropped before.
+    fn sustains_message(&self, now: Duration, pacing: &MessagePacing) -> bool {
+        pacing.is_sustainable(now, self.messages.iter().copied())
+    }
+
     /// Returns true if the last message to it belongs to the batch of this time.
     fn was_messaged_at(&self, now: Duration) -> bool {
         self.messages.back() == Some(&now)
@@ -95,12 +101,19 @@
 }
 
 /// The messages that an update would add to the current batch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewMessages {
     /// The number of proxies that would get a new message.
     pub count: usize,
     /// The largest number of messages that one of these proxies got within the window.
     pub max_recent: usize,
+    /// True if the pacing of messages allows all of them.
+    pub sustainable: bool,
+}
+
+impl NewMessages {
+    /// No new message.
+    pub const NONE: NewMessages = NewMessages { count: 0, max_recent: 0, sustainable: true };
 }
 
 /// All attached proxies.
@@ -196,11 +209,19 @@
     }
 
     /// Returns the messages that an update to these recipients would add to the batch of `now`.
-    pub fn new_messages(&mut self, recipients: Recipients, now: Duration, window: Duration) -> NewMessages {
+    pub fn new_messages(
+        &mut self,
+        recipients: Recipients,
+        now: Duration,
+        window: Duration,
+        pacing: Option<&MessagePacing>,
+    ) -> NewMessages {
         let not_messaged = self.included_mut(recipients).filter(|proxy| !proxy.was_messaged_at(now));
-        not_messaged.fold(NewMessages::default(), |messages, proxy| NewMessages {
+        not_messaged.fold(NewMessages::NONE, |messages, proxy| NewMessages {
             count: messages.count + 1,
             max_recent: messages.max_recent.max(proxy.recent_messages(now, window)),
+            sustainable: messages.sustainable
+                && pacing.is_none_or(|pacing| proxy.sustains_message(now, pacing)),
         })
     }
 
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::FleetSettings;
+use crate::message_pacing::MessagePacing;
 use crate::proxies::{NewMessages, ProxySet, Recipients};
 use crate::publish::Priority;
 
@@ -50,6 +51,8 @@
 /// one message to each proxy.
 #[derive(Default)]
 pub struct UpdateChannel {
+    /// The pacing of messages to each proxy; `None` if their number is not limited.
+    pacing: Option<MessagePacing>,
     estimate: QueueEstimate,
     /// The number of waiting entries by the host's own count, if it has one, plus those added since.
     reported: Option<f64>,
@@ -68,6 +71,11 @@
 }
 
 impl UpdateChannel {
+    /// Returns a channel with no waiting entries and this pacing of messages.
+    pub fn new(pacing: Option<MessagePacing>) -> Self {
+        UpdateChannel { pacing, ..UpdateChannel::default() }
+    }
+
     /// Reserves capacity for an update at `now`.
     ///
     /// # Errors
@@ -80,14 +88,14 @@
         now: Duration,
         update: Reservation,
     ) -> Result<(), NoCapacity> {
-        let Reservation { entries, recipients, priority } = update;
+        let Reservation { entries, recipients, priority, .. } = update;
         let queue = self.queued(now, limits.max_entries_per_second);
         let queued = if priority < Priority::Drain { queue.pessimistic } else { queue.urgent };
         let is_new = !self.messaged_recipients.contains(&recipients);
         let new = if is_new {
-            proxies.new_messages(recipients, now, limits.message_window)
+            proxies.new_messages(recipients, now, limits.message_window, self.pacing.as_ref())
         } else {
-            NewMessages::default()
+            NewMessages::NONE
         };
         let cost =
             (entries * proxies.count(recipients)) as f64 + new.count as f64 * limits.message_overhead_entries;
@@ -102,6 +110,12 @@
         if queued + cost > max_queued {
             return Err(NoCapacity::InQueue);
         }
+        if !new.sustainable
+            && let Some(due_at) = self.waits_until(&update, queued, limits)
+            && now < due_at
+        {
+            return Err(NoCapacity::InMessages { due_at });
+        }
         self.add(cost);
         if is_new {
             proxies.record_messages(recipients, now);
@@ -112,6 +126,20 @@
         Ok(())
     }
 
+    /// Returns the time until which an update waits to share a message; `None` if it may not wait at all.
+    fn waits_until(&self, update: &Reservation, queued: f64, limits: &FleetSettings) -> Option<Duration> {
+        let pacing = self.pacing.as_ref()?;
+        match update.priority {
+            Priority::Common => Some(Duration::MAX),
+            // A proxy without a table or a table without weight may have no endpoint to use.
+            Priority::Assignment => None,
+            Priority::Drain => {
+                let queue_delay = Duration::from_secs_f64(queued / limits.max_entries_per_second);
+                Some(pacing.due_at(update.pending_since, queue_delay))
+            }
+        }
+    }
+
     /// Sets the number of entries that wait by the host's count, which includes those to stalled proxies.
     pub fn set_queued(&mut self, entries: f64) {
         self.reported = Some(entries);
@@ -175,6 +203,9 @@
     InQueue,
     /// Its recipients have had too many messages, or it is too large; other updates may still be sent.
     ForUpdate,
+    /// Its recipients have had so many messages that it waits, until this time at most, to share one with
+    /// other updates.
+    InMessages { due_at: Duration },
 }
 
 /// The capacity that an update needs in the channel.
@@ -184,4 +215,6 @@
     pub entries: usize,
     pub recipients: Recipients,
     pub priority: Priority,
+    /// The time since which the update is pending; used only if its priority is [`Priority::Drain`].
+    pub pending_since: Duration,
 }
