Read messages of proxies and collectors without building a tree of their values

Cause: each message was parsed into a serde_json::Value, where 8 bytes of text become a map node of over 600.

Change: message_fields keeps the known fields as JSON text and skips all others. Values in error messages are abbreviated. An invalid field, a repeated field, null and what is no object are judged as before.

--- a/crates/platform/src/inbound.rs
+++ b/crates/platform/src/inbound.rs
@@ -6,10 +6,10 @@
 
 use lockcroft::{ClassId, EndpointId, ProxyId, Settings, ZoneId};
 use lockcroft_host::{NameIndex, UnknownName};
-use serde_json::Value;
 use thiserror::Error;
 
 use crate::endpoint_list::EndpointList;
+use crate::message_fields::{MessageFields, abbreviated};
 
 /// The maximum length of a message in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -78,7 +78,7 @@
     NotAnObject,
     /// A field is missing, or its value is not allowed.
     #[error("{field}: {found}; allowed: {allowed}")]
-    InvalidField { field: &'static str, found: Value, allowed: String },
+    InvalidField { field: &'static str, found: String, allowed: String },
     /// Discovery has never listed this endpoint.
     #[error("endpoint: {0:?} was never listed")]
     UnknownEndpoint(String),
@@ -127,29 +127,30 @@
 /// # Errors
 /// Returns an error if the line is not a message, or if one of its fields is missing or invalid.
 pub fn parse_message(line: &[u8], context: &MessageContext) -> Result<InboundMessage, MessageError> {
-    let value: Value = serde_json::from_slice(line)?;
-    if !value.is_object() {
-        return Err(MessageError::NotAnObject);
-    }
-    let fields = Fields { message: &value, context };
-    match fields.string("t")? {
+    let message = serde_json::from_slice(line);
+    let message = message.map_err(|error: serde_json::Error| match error.is_data() {
+        true => MessageError::NotAnObject,
+        false => MessageError::Json(error),
+    })?;
+    let fields = Fields { message, context };
+    match fields.string("t")?.as_str() {
         "hb" => Ok(InboundMessage::Heartbeat),
         "telemetry" => Ok(InboundMessage::CollectorAttach { zone: fields.zone()? }),
         "attach" => fields.proxy_attach().map(InboundMessage::ProxyAttach),
         "done" => fields.acknowledgement(),
         "upstream_stats" => fields.attempt_report().map(InboundMessage::AttemptReport),
         "client_stats" => fields.request_report().map(InboundMessage::RequestReport),
-        other => Err(MessageError::UnknownKind(other.into())),
+        other => Err(MessageError::UnknownKind(abbreviated(other))),
     }
 }
 
 /// The fields of one message.
 struct Fields<'a> {
-    message: &'a Value,
+    message: MessageFields<'a>,
     context: &'a MessageContext<'a>,
 }
 
-impl<'a> Fields<'a> {
+impl Fields<'_> {
     fn proxy_attach(&self) -> Result<ProxyAttach, MessageError> {
         let without_table = self.flag("cold")?;
         let request_rate = self.number("w", MAX_REPORTED_NUMBER)?;
@@ -164,14 +165,14 @@
 
     fn attempt_report(&self) -> Result<AttemptReport, MessageError> {
         let name = self.string("endpoint")?;
-        let endpoint = self.context.endpoints.find(name);
-        let endpoint = endpoint.ok_or_else(|| MessageError::UnknownEndpoint(name.into()))?;
+        let endpoint = self.context.endpoints.find(&name);
+        let endpoint = endpoint.ok_or_else(|| MessageError::UnknownEndpoint(abbreviated(&name)))?;
         self.zone()?;
         self.check_interval()?;
         let attempts = self.count("total")?;
         let failed = self.count("errors")?;
         self.check_failed_count(failed, attempts)?;
-        if !matches!(self.message["metrics"], Value::Null | Value::Object(_)) {
+        if !self.message.is_null("metrics") && !self.message.is_object("metrics") {
             return Err(self.invalid("metrics", "an object"));
         }
         let mean_latency = self.mean_latency(failed == attempts)?;
@@ -182,14 +183,14 @@
         let requests = self.count("total")?;
         let failed = self.count("errors")?;
         self.check_interval()?;
-        let class = self.context.names.class(self.string("route")?)?;
+        let class = self.context.names.class(&self.string("route")?)?;
         self.check_failed_count(failed, requests)?;
         Ok(RequestReport { proxy: self.proxy()?, class, requests })
     }
 
     /// Returns the mean latency of successful attempts. If all failed, the field may be null.
     fn mean_latency(&self, all_failed: bool) -> Result<Duration, MessageError> {
-        if all_failed && self.message["rtt"].is_null() {
+        if all_failed && self.message.is_null("rtt") {
             return Ok(Duration::ZERO);
         }
         let max_millis = self.context.limits.max_attempt_latency.as_secs_f64() * 1e3;
@@ -213,19 +214,19 @@
     }
 
     fn zone(&self) -> Result<ZoneId, MessageError> {
-        Ok(self.context.names.zone(self.string("locality")?)?)
+        Ok(self.context.names.zone(&self.string("locality")?)?)
     }
 
-    fn string(&self, field: &'static str) -> Result<&'a str, MessageError> {
-        self.message[field].as_str().ok_or_else(|| self.invalid(field, "a text"))
+    fn string(&self, field: &'static str) -> Result<String, MessageError> {
+        self.message.get(field).ok_or_else(|| self.invalid(field, "a text"))
     }
 
     fn flag(&self, field: &'static str) -> Result<bool, MessageError> {
-        self.message[field].as_bool().ok_or_else(|| self.invalid(field, "true or false"))
+        self.message.get(field).ok_or_else(|| self.invalid(field, "true or false"))
     }
 
     fn number(&self, field: &'static str, max: f64) -> Result<f64, MessageError> {
-        let number = self.message[field].as_f64().filter(|number| (0.0..=max).contains(number));
+        let number = self.message.get(field).filter(|number| (0.0..=max).contains(number));
         number.ok_or_else(|| self.invalid(field, format!("a number from 0 to {max}")))
     }
 
@@ -235,6 +236,6 @@
     }
 
     fn invalid(&self, field: &'static str, allowed: impl Into<String>) -> MessageError {
-        MessageError::InvalidField { field, found: self.message[field].clone(), allowed: allowed.into() }
+        MessageError::InvalidField { field, found: self.message.shown(field), allowed: allowed.into() }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod io;
 mod list_message;
 mod load_report;
+mod message_fields;
 mod outbound;
 mod proxy_stream;
 
