Limit the memory of all clients of a controller on the platform together

Here 400 attached clients that stopped within a message of 1 MiB took 422 MB; for 400 clients that sent heartbeats and did not read, the system held 90 MB.

Cause: only limits on each connection: 1 MiB of an incomplete line, 256 KiB of pending output, and the send buffer that the system chooses.

Change: a budget for incomplete input and one for unwritten output, each an eighth of limits.memory_mb, over all connections; what a connection reserves is given back when its guard is dropped. The first 8 KiB of input and 4 KiB of output of a connection are not counted, so that ordinary messages always pass. A connection that asks for more than is left is rejected. The send buffer is 16 KiB until a single message is longer. The fractions and sizes are chosen, not measured.

--- /dev/null
+++ b/crates/cli/tests/overload/platform.rs
@@ -0,0 +1,119 @@
+//! Clients of `lockcroft platform`.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::clients::connect_with_small_window;
+use crate::platform_controller::{PlatformController, attach_message, free_address};
+use crate::platform_testbed::{Discovery, endpoint, entry};
+use crate::process_memory::peak_memory_kib;
+
+/// The smallest memory limit of a controller's machine; the platform kills a process above it.
+const MEMORY_LIMIT_MB: u64 = 32;
+const MAX_SOCKETS: usize = 1024;
+const PROXIES: usize = 400;
+/// The longest message that the protocol allows, in bytes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+fn start_controller() -> PlatformController {
+    let discovery = Discovery::start(2, vec![entry("s-a", endpoint(), "up", 0)]);
+    PlatformController::start_with(free_address(), discovery.address, MAX_SOCKETS, |config| {
+        config["limits"]["memory_mb"] = json!(MEMORY_LIMIT_MB);
+        config["settings"]["specifics"]["agents"] = json!(PROXIES);
+    })
+}
+
+fn assert_within_memory_limit(controller: &PlatformController) {
+    let peak_kib = peak_memory_kib(controller.process.id());
+    println!("peak {peak_kib} KiB");
+    assert!(peak_kib < MEMORY_LIMIT_MB * 1_000_000 / 1024, "{peak_kib} KiB");
+}
+
+/// Writes as much as the controller takes; a connection that it closes is no failure.
+fn send_some(stream: &mut TcpStream, bytes: &[u8]) {
+    stream.set_write_timeout(Some(Duration::from_millis(500))).expect("set");
+    let _ = stream.write_all(bytes);
+}
+
+fn attach_all(controller: &PlatformController) -> Vec<TcpStream> {
+    // The controller listens from then on.
+    drop(controller.connect());
+    (0..PROXIES)
+        .map(|proxy| {
+            let mut stream = connect_with_small_window(controller.listen);
+            send_some(&mut stream, attach_message(proxy).as_bytes());
+            stream
+        })
+        .collect()
+}
+
+#[test]
+fn attached_clients_that_stop_within_a_long_message_keep_the_memory_limit() {
+    let controller = start_controller();
+    let mut streams = attach_all(&controller);
+    let part = format!("{{\"t\":\"done\",\"filler\":\"{}", "x".repeat(MAX_MESSAGE_BYTES - 100));
+    for stream in &mut streams {
+        send_some(stream, part.as_bytes());
+    }
+    std::thread::sleep(Duration::from_millis(3000));
+    assert_within_memory_limit(&controller);
+}
+
+#[test]
+fn unattached_clients_that_stop_within_a_message_keep_the_memory_limit() {
+    let controller = start_controller();
+    let mut streams = Vec::new();
+    for _ in 0..900 {
+        let mut stream = controller.connect().stream;
+        send_some(&mut stream, &[b'x'; 16_000]);
+        streams.push(stream);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    assert_within_memory_limit(&controller);
+}
+
+#[test]
+fn attached_clients_that_do_not_read_keep_the_memory_limit() {
+    let controller = start_controller();
+    let mut streams = attach_all(&controller);
+    let heartbeats = "{\"t\":\"hb\"}\n".repeat(50_000);
+    for stream in &mut streams {
+        send_some(stream, heartbeats.as_bytes());
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    assert_within_memory_limit(&controller);
+    // What the system holds for these clients is memory of the controller's machine too.
+    let held: usize = streams.iter_mut().map(unread_bytes).sum();
+    println!("{held} bytes unread");
+    assert!(held < MEMORY_LIMIT_MB as usize * 1_000_000, "{held} bytes are held for clients");
+}
+
+/// Reads until the controller sends nothing more, and returns the number of bytes.
+fn unread_bytes(stream: &mut TcpStream) -> usize {
+    stream.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+    let mut buffer = vec![0; 1 << 16];
+    let mut unread = 0;
+    while let Ok(read @ 1..) = stream.read(&mut buffer) {
+        unread += read;
+    }
+    unread
+}
+
+#[test]
+fn a_message_of_very_many_short_fields_keeps_the_memory_limit() {
+    let controller = start_controller();
+    let objects = "{\"\":0},".repeat(MAX_MESSAGE_BYTES / 7 - 20);
+    let elements = "[],".repeat(MAX_MESSAGE_BYTES / 3 - 40);
+    for (proxy, filler) in [objects, elements].iter().enumerate() {
+        let mut connection = controller.connect();
+        connection.send(&attach_message(proxy));
+        let message = format!("{{\"t\":\"hb\",\"filler\":[{filler}0]}}\n");
+        assert!(message.len() <= MAX_MESSAGE_BYTES);
+        send_some(&mut connection.stream, message.as_bytes());
+        connection.wait_for_line(&["hb_ok"]).expect("an answer");
+    }
+    assert_within_memory_limit(&controller);
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -7,6 +7,10 @@
 use serde_json::Value;
 use thiserror::Error;
 
+/// The smallest memory limit of a controller on the platform, in megabytes.
+const MIN_MEMORY_MB: f64 = 32.0;
+const BYTES_PER_MB: f64 = 1e6;
+
 /// The configuration of one controller.
 pub struct Config {
     /// The name of this controller.
@@ -19,6 +23,8 @@
     pub seed: u64,
     /// The maximum number of file descriptors of this process.
     pub max_descriptors: usize,
+    /// The memory limit of this process, in bytes.
+    pub max_memory_bytes: usize,
     /// The last endpoint list of this controller's previous run, in the form of a discovery message.
     pub last_known_endpoint_list: Option<Value>,
     /// The settings of the controller's decisions.
@@ -65,6 +71,7 @@
             discovery: address(&value, "discovery")?,
             seed,
             max_descriptors,
+            max_memory_bytes: max_memory_bytes(&value),
             last_known_endpoint_list: value.get("known").filter(|known| !known.is_null()).cloned(),
             settings,
         })
@@ -98,6 +105,12 @@
     })
 }
 
+/// Returns the memory limit, or the smallest one that the platform sets if it is missing or invalid.
+fn max_memory_bytes(value: &Value) -> usize {
+    let megabytes = value["limits"]["memory_mb"].as_f64().filter(|megabytes| *megabytes > 0.0);
+    (megabytes.unwrap_or(MIN_MEMORY_MB) * BYTES_PER_MB) as usize
+}
+
 fn max_descriptors(value: &Value) -> Result<usize, ConfigError> {
     let found = &value["limits"]["sockets"];
     let number = found.as_u64().and_then(|number| usize::try_from(number).ok());
--- a/crates/platform/src/io/connection.rs
+++ b/crates/platform/src/io/connection.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use lockcroft_runtime_api::LineBuffer;
+use lockcroft_runtime_api::{ByteReservation, LineBuffer};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -17,8 +18,12 @@
 use super::shared::Shared;
 use crate::connection_admission::ConnectionId;
 
-/// An empty read buffer with a larger capacity, as after a long message, is freed.
-const MAX_RETAINED_BUFFER_BYTES: usize = 1 << 16;
+/// The size of a read buffer that does not count towards the limit on the sum for all connections, in bytes. The unused
+/// part of a larger one, as after a long message, is freed.
+const UNCOUNTED_BUFFER_BYTES: usize = 1 << 13;
+/// The size of a connection's send buffer, until a single message is longer. The system holds no more than that for a
+/// client that sends much and does not read the replies; the rest counts as unwritten output.
+pub const SEND_BUFFER_BYTES: usize = 1 << 14;
 /// The timeout for writing the last bytes of a connection, and the timeout for the peer to close it afterwards.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum number of bytes that are read and discarded until the peer closes.
@@ -44,7 +49,9 @@
         reader,
         writer,
         read_buffer: LineBuffer::default(),
+        read_reservation: shared.input_budget.reservation(),
         write_buffer: BytesMut::new(),
+        send_buffer_bytes: SEND_BUFFER_BYTES,
         has_received: false,
     };
     task.run().await
@@ -58,8 +65,12 @@
     reader: ReadHalf<'a>,
     writer: WriteHalf<'a>,
     read_buffer: LineBuffer,
+    /// The bytes of the read buffer that count towards the limit on the sum for all connections.
+    read_reservation: ByteReservation,
     /// The bytes that are being written.
     write_buffer: BytesMut,
+    /// The size of the socket's send buffer.
+    send_buffer_bytes: usize,
     /// True once any bytes were received.
     has_received: bool,
 }
@@ -70,7 +81,8 @@
             if self.write_buffer.is_empty() {
                 self.write_buffer = self.handle.pending.take();
             }
-            self.handle.writing_bytes.set(self.write_buffer.len());
+            self.handle.set_writing(self.write_buffer.len());
+            self.enlarge_send_buffer();
             match self.handle.shutdown.get() {
                 Some(Shutdown::Now) => return Ok(()),
                 Some(Shutdown::AfterWrites) => return self.close_after_writes().await,
@@ -82,7 +94,6 @@
                 self.shared.after_input();
                 continue;
             }
-            self.release_large_buffer();
             tokio::select! {
                 read = self.reader.read_buf(self.read_buffer.buffer()) => {
                     if read? == 0 {
@@ -99,11 +110,13 @@
         }
     }
 
-    fn release_large_buffer(&mut self) {
-        if self.read_buffer.pending().is_empty()
-            && self.read_buffer.buffer().capacity() > MAX_RETAINED_BUFFER_BYTES
-        {
-            self.read_buffer = LineBuffer::default();
+    /// Enlarges the socket's send buffer for a long message, so that the system takes as much of it as it can.
+    fn enlarge_send_buffer(&mut self) {
+        let longest_message = self.handle.longest_message.get();
+        if longest_message > self.send_buffer_bytes {
+            self.send_buffer_bytes = longest_message;
+            // With a smaller buffer, the message only takes longer.
+            let _ = SockRef::from(self.writer.as_ref()).set_send_buffer_size(longest_message);
         }
     }
 
@@ -116,7 +129,7 @@
     }
 
     /// Passes complete lines to the control plane; an incomplete line stays in the buffer. Rejects the connection if
-    /// that line is too long.
+    /// that line is too long, or if the incomplete lines of all connections are.
     fn handle_lines(&mut self) {
         let mut control_plane = self.shared.control_plane.borrow_mut();
         let connection = self.connection;
@@ -127,6 +140,11 @@
         if self.read_buffer.pending().len() > control_plane.max_line_bytes(connection) {
             control_plane.reject(connection, "a message without end");
         }
+        self.read_buffer.release_unused(UNCOUNTED_BUFFER_BYTES);
+        let counted_bytes = self.read_buffer.allocated_bytes().saturating_sub(UNCOUNTED_BUFFER_BYTES);
+        if let Err(error) = self.read_reservation.try_resize(counted_bytes) {
+            control_plane.reject(connection, &error.to_string());
+        }
         drop(control_plane);
         self.shared.after_input();
     }
@@ -163,6 +181,7 @@
     /// discard the last message before the peer reads it. So if the peer has sent anything, its input is read and
     /// discarded for a limited time, provided that file descriptors are available.
     async fn close_after_writes(mut self) -> io::Result<()> {
+        self.discard_read_buffer();
         self.write_remaining().await?;
         self.writer.shutdown().await?;
         if self.has_received && self.shared.control_plane.borrow().has_capacity() {
@@ -176,10 +195,17 @@
     /// is often queued while an earlier one is partly written.
     async fn write_remaining(&mut self) -> io::Result<()> {
         self.write_buffer.extend_from_slice(&self.handle.pending.take());
-        self.handle.writing_bytes.set(self.write_buffer.len());
+        self.handle.set_writing(self.write_buffer.len());
         timeout(CLOSE_TIMEOUT, self.writer.write_all(&self.write_buffer)).await?
     }
 
+    /// Frees the input that was read and is not handled any more, while the connection is being closed.
+    fn discard_read_buffer(&mut self) {
+        self.read_buffer = LineBuffer::default();
+        // Fewer bytes than before are always possible.
+        let _ = self.read_reservation.try_resize(0);
+    }
+
     async fn discard_input(&mut self) -> io::Result<()> {
         let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
         let mut discarded = 0;
--- a/crates/platform/src/io/listener.rs
+++ b/crates/platform/src/io/listener.rs
@@ -9,7 +9,7 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 
-use super::connection;
+use super::connection::{self, SEND_BUFFER_BYTES};
 use super::error::ServeError;
 use super::shared::{AcceptedConnection, Shared};
 use crate::config::Config;
@@ -43,6 +43,8 @@
 fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the size.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES as u32)?;
     socket.bind(address)?;
     socket.listen(backlog)
 }
--- a/crates/platform/src/io/shared.rs
+++ b/crates/platform/src/io/shared.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use lockcroft::EndpointId;
+use lockcroft_runtime_api::ByteBudget;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -17,12 +18,21 @@
 use crate::connection_admission::ConnectionId;
 use crate::control_plane::{ControlPlane, Effect};
 
+/// The fractions of the memory limit that incomplete messages from clients, and messages that they have not read yet,
+/// may occupy for all connections together.
+const INPUT_MEMORY_FRACTION: f64 = 0.125;
+const OUTPUT_MEMORY_FRACTION: f64 = 0.125;
+
 /// State shared by all tasks.
 pub struct Shared {
     pub control_plane: RefCell<ControlPlane>,
     started_at: Instant,
     /// Wakes the tick loop after input that the controller may have to act on.
     pub input_arrived: Notify,
+    /// The limit on incomplete messages from all clients.
+    pub input_budget: ByteBudget,
+    /// The limit on unwritten messages to all clients.
+    output_budget: ByteBudget,
     handles: RefCell<BTreeMap<ConnectionId, Rc<ConnectionHandle>>>,
     last_connection: Cell<ConnectionId>,
 }
@@ -40,6 +50,8 @@
             control_plane: RefCell::new(ControlPlane::new(config)),
             started_at: Instant::now(),
             input_arrived: Notify::new(),
+            input_budget: memory_budget(config, INPUT_MEMORY_FRACTION),
+            output_budget: memory_budget(config, OUTPUT_MEMORY_FRACTION),
             handles: RefCell::default(),
             last_connection: Cell::new(0),
         })
@@ -59,7 +71,7 @@
     pub fn add_connection(&self) -> AcceptedConnection {
         let connection = self.last_connection.get() + 1;
         self.last_connection.set(connection);
-        let handle = Rc::new(ConnectionHandle::default());
+        let handle = Rc::new(ConnectionHandle::new(&self.output_budget));
         self.handles.borrow_mut().insert(connection, handle.clone());
         self.control_plane.borrow_mut().connection_accepted(self.now(), connection);
         self.input_arrived.notify_one();
@@ -139,6 +151,10 @@
     }
 }
 
+fn memory_budget(config: &Config, fraction: f64) -> ByteBudget {
+    ByteBudget::new((config.max_memory_bytes as f64 * fraction) as usize)
+}
+
 /// Returns the current time in Unix milliseconds.
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
--- a/crates/runtime-api/src/lib.rs
+++ b/crates/runtime-api/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 mod address;
+mod byte_budget;
 mod client;
 mod command_handler;
 mod command_reader;
@@ -16,6 +17,7 @@
 mod tokenizer;
 
 pub use address::{Address, InvalidAddress, Listener, Stream, connect};
+pub use byte_budget::{BudgetExceeded, ByteBudget, ByteReservation};
 pub use client::{RequestError, request};
 pub use command_handler::{CommandHandler, CommandResult, CommandSpec};
 pub use command_reader::{CommandReader, LineTooLong, MAX_LINE_BYTES};
--- a/crates/runtime-api/src/line_buffer.rs
+++ b/crates/runtime-api/src/line_buffer.rs
@@ -11,15 +11,32 @@
     buffer: BytesMut,
     /// The number of bytes that were searched for a line feed already, so that none is searched twice.
     searched: usize,
+    /// The size of the allocation, of which `buffer` may be only the rear part.
+    allocated: usize,
 }
 
 impl LineBuffer {
     /// Returns the buffer to read into. It has spare capacity for one read from a socket.
     pub fn buffer(&mut self) -> &mut BytesMut {
         self.buffer.reserve(READ_BYTES);
+        self.allocated = self.allocated.max(self.buffer.capacity());
         &mut self.buffer
     }
 
+    /// Returns the number of bytes that the buffer occupies, as of the last call of [`LineBuffer::buffer`].
+    #[must_use]
+    pub fn allocated_bytes(&self) -> usize {
+        self.allocated
+    }
+
+    /// Frees the space of returned lines if the buffer occupies more than `max_retained` bytes and is mostly unused.
+    pub fn release_unused(&mut self, max_retained: usize) {
+        if self.allocated > max_retained && self.buffer.len() < self.allocated / 4 {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+            self.allocated = self.buffer.capacity();
+        }
+    }
+
     /// Returns the bytes that are not part of a returned line.
     #[must_use]
     pub fn pending(&self) -> &[u8] {
