Reuse only connections to endpoints that are ready for a request

Cause: an endpoint may answer before it has read the whole body. The connection went back to the pool with the first request still being sent, and the next request waited on it.

Change: ConnectionPool::take skips connections that are not ready; the idle timeout closes them if they stay so.

--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -14,3 +14,4 @@
 mod clients;
 mod platform;
 mod process_memory;
+mod proxy;
--- a/crates/cli/tests/overload/platform.rs
+++ b/crates/cli/tests/overload/platform.rs
@@ -1,12 +1,12 @@
 //! Clients of `lockcroft platform`.
 
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::TcpStream;
 use std::time::Duration;
 
 use serde_json::json;
 
-use crate::clients::connect_with_small_window;
+use crate::clients::{connect_with_small_window, send_some};
 use crate::platform_controller::{PlatformController, attach_message, free_address};
 use crate::platform_testbed::{Discovery, endpoint, entry};
 use crate::process_memory::peak_memory_kib;
@@ -32,12 +32,6 @@
     assert!(peak_kib < MEMORY_LIMIT_MB * 1_000_000 / 1024, "{peak_kib} KiB");
 }
 
-/// Writes as much as the controller takes; a connection that it closes is no failure.
-fn send_some(stream: &mut TcpStream, bytes: &[u8]) {
-    stream.set_write_timeout(Some(Duration::from_millis(500))).expect("set");
-    let _ = stream.write_all(bytes);
-}
-
 fn attach_all(controller: &PlatformController) -> Vec<TcpStream> {
     // The controller listens from then on.
     drop(controller.connect());
--- /dev/null
+++ b/crates/cli/tests/overload/proxy.rs
@@ -0,0 +1,109 @@
+//! Clients of `lockcroft proxy` that send requests.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::controller_fixture::PROGRAM;
+use crate::platform_controller::free_address;
+
+/// The longest body that the proxy under test buffers.
+const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
+const START_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// A proxy process with one endpoint; dropping it kills the process.
+pub struct ProxyProcess {
+    _folder: tempfile::TempDir,
+    pub address: SocketAddr,
+    process: Child,
+}
+
+impl ProxyProcess {
+    pub fn start(endpoint: SocketAddr) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let address = free_address();
+        let text = format!(
+            "<proxy name=\"r1\"><visits address=\"{address}\" keep-most-bytes=\"{MAX_BUFFERED_BODY_BYTES}\"/>\n\
+             <control address=\"unix:{}\"/><tries try-most=\"30s\"/>\n\
+             <limits outstanding-most=\"5000\"/>\n\
+             <classes><class name=\"look\" patience=\"30s\"/></classes>\n\
+             <standing><server name=\"e1\" address=\"{endpoint}\"/></standing></proxy>\n",
+            folder.path().join("r1.sock").display()
+        );
+        std::fs::write(folder.path().join("proxy.xml"), text).expect("written");
+        let mut command = Command::new(PROGRAM);
+        command.arg("proxy").arg(folder.path().join("proxy.xml"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        let process = command.spawn().expect("started");
+        let proxy = ProxyProcess { _folder: folder, address, process };
+        proxy.wait_until_listening();
+        proxy
+    }
+
+    fn wait_until_listening(&self) {
+        let deadline = Instant::now() + START_TIMEOUT;
+        while TcpStream::connect(self.address).is_err() {
+            assert!(Instant::now() < deadline, "the proxy does not listen in time");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for ProxyProcess {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// Starts an endpoint that answers every head with this text and reads on. It runs until the test process exits.
+pub fn endpoint(response: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), response) = (stream, response.clone()) else { continue };
+            thread::spawn(move || {
+                let mut buffer = [0; 4096];
+                while let Ok(read @ 1..) = stream.read(&mut buffer) {
+                    let is_head = buffer[..read].windows(4).any(|bytes| bytes == b"\r\n\r\n");
+                    if is_head && stream.write_all(response.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn small_response() -> String {
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".into()
+}
+
+/// Checks that the proxy still answers another client.
+fn assert_answers(proxy: &ProxyProcess) {
+    let mut stream = TcpStream::connect(proxy.address).expect("connected");
+    stream.set_read_timeout(Some(Duration::from_secs(3))).expect("set");
+    stream.write_all(b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n").expect("sent");
+    let mut buffer = [0; 64];
+    let read = stream.read(&mut buffer).expect("an answer in time");
+    let answer = String::from_utf8_lossy(&buffer[..read]);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against a request that waits for another client's body: its endpoint had answered before the end of that body,
+/// and the connection was reused.
+#[test]
+fn a_body_that_stops_after_its_answer_delays_no_other_request() {
+    let proxy = ProxyProcess::start(endpoint(small_response()));
+    let mut stream = TcpStream::connect(proxy.address).expect("connected");
+    let length = 2 * MAX_BUFFERED_BODY_BYTES;
+    let part = "x".repeat(MAX_BUFFERED_BODY_BYTES + (1 << 16));
+    let request = format!("POST /look HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{part}");
+    stream.write_all(request.as_bytes()).expect("sent");
+    assert!(stream.read(&mut [0; 64]).is_ok_and(|read| read > 0), "an answer before the end of the body");
+    assert_answers(&proxy);
+}
--- a/crates/proxy/src/io/connection_pool.rs
+++ b/crates/proxy/src/io/connection_pool.rs
@@ -42,16 +42,13 @@
         ConnectionPool { idle: HashMap::new(), idle_timeout }
     }
 
-    /// Removes and returns the most recently used idle connection to an endpoint that is still open and
-    /// within the idle timeout.
+    /// Removes and returns the most recently used idle connection to an endpoint that is still open, within the
+    /// idle timeout and ready: one whose endpoint answered before the end of a request still waits for that.
     pub fn take(&mut self, address: SocketAddr) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
-        while let Some(candidate) = idle.pop() {
-            if candidate.is_usable(self.idle_timeout) {
-                return Some(candidate.connection);
-            }
-        }
-        None
+        idle.retain(|candidate| candidate.is_usable(self.idle_timeout));
+        let ready = idle.iter().rposition(|candidate| candidate.connection.is_ready())?;
+        Some(idle.remove(ready).connection)
     }
 
     /// Adds a connection whose last response was received completely. Drops it if it is closed, or if the
