Limit the memory of all clients of a proxy and of a runtime API together

Cause: limits on each connection only. Bodies of each client up to keep-most-bytes, buffers of the HTTP library of 400 KiB for each direction, commands parsed before their payload came, answers of all commands of a line put together before their length was checked, and no time limit on writing them at the proxy.

Change: budgets over all connections, given back by guards. Heads and buffered bodies share 64 MiB; beyond it bodies are streamed and long heads rejected. Buffers of the HTTP library are 32 KiB, so streams take a bounded amount for each of clients-most connections: their sum is bounded by that setting only. Answers of a runtime API share 32 MiB while they wait; a line stops at the longest response; a line that waits for its payload is kept as text. A failed accept no longer ends the proxy's control listener. The sizes are chosen, not measured.

--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -12,6 +12,7 @@
 mod platform_testbed;
 
 mod clients;
+mod control;
 mod platform;
 mod process_memory;
 mod proxy;
--- a/crates/cli/tests/overload/platform.rs
+++ b/crates/cli/tests/overload/platform.rs
@@ -9,7 +9,7 @@
 use crate::clients::{connect_with_small_window, send_some};
 use crate::platform_controller::{PlatformController, attach_message, free_address};
 use crate::platform_testbed::{Discovery, endpoint, entry};
-use crate::process_memory::peak_memory_kib;
+use crate::process_memory::assert_memory_below;
 
 /// The smallest memory limit of a controller's machine; the platform kills a process above it.
 const MEMORY_LIMIT_MB: u64 = 32;
@@ -27,9 +27,7 @@
 }
 
 fn assert_within_memory_limit(controller: &PlatformController) {
-    let peak_kib = peak_memory_kib(controller.process.id());
-    println!("peak {peak_kib} KiB");
-    assert!(peak_kib < MEMORY_LIMIT_MB * 1_000_000 / 1024, "{peak_kib} KiB");
+    assert_memory_below(controller.process.id(), MEMORY_LIMIT_MB);
 }
 
 fn attach_all(controller: &PlatformController) -> Vec<TcpStream> {
--- a/crates/cli/tests/overload/proxy.rs
+++ b/crates/cli/tests/overload/proxy.rs
@@ -2,20 +2,26 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::clients::{connect_with_small_window, send_some};
 use crate::controller_fixture::PROGRAM;
 use crate::platform_controller::free_address;
+use crate::process_memory::assert_memory_below;
 
+/// The largest memory limit of a machine of the platform.
+const MEMORY_LIMIT_MB: u64 = 192;
+const CLIENTS: usize = 900;
 /// The longest body that the proxy under test buffers.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
 const START_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// A proxy process with one endpoint; dropping it kills the process.
 pub struct ProxyProcess {
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
     pub address: SocketAddr,
     process: Child,
 }
@@ -37,7 +43,7 @@
         command.arg("proxy").arg(folder.path().join("proxy.xml"));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
         let process = command.spawn().expect("started");
-        let proxy = ProxyProcess { _folder: folder, address, process };
+        let proxy = ProxyProcess { folder, address, process };
         proxy.wait_until_listening();
         proxy
     }
@@ -49,6 +55,18 @@
             thread::sleep(Duration::from_millis(10));
         }
     }
+
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
+    pub fn control_socket(&self) -> PathBuf {
+        self.folder.path().join("r1.sock")
+    }
+
+    pub fn assert_within_memory_limit(&self) {
+        assert_memory_below(self.id(), MEMORY_LIMIT_MB);
+    }
 }
 
 impl Drop for ProxyProcess {
@@ -79,10 +97,20 @@
     address
 }
 
-fn small_response() -> String {
+pub fn small_response() -> String {
     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".into()
 }
 
+/// Opens connections that each send these bytes and read nothing.
+fn clients_that_send(proxy: &ProxyProcess, bytes: &[u8]) -> Vec<TcpStream> {
+    let connect = |_| {
+        let mut stream = connect_with_small_window(proxy.address);
+        send_some(&mut stream, bytes);
+        stream
+    };
+    (0..CLIENTS).map(connect).collect()
+}
+
 /// Checks that the proxy still answers another client.
 fn assert_answers(proxy: &ProxyProcess) {
     let mut stream = TcpStream::connect(proxy.address).expect("connected");
@@ -107,3 +135,59 @@
     assert!(stream.read(&mut [0; 64]).is_ok_and(|read| read > 0), "an answer before the end of the body");
     assert_answers(&proxy);
 }
+
+#[test]
+fn heads_of_many_short_fields_that_never_end_keep_the_memory_limit() {
+    let proxy = ProxyProcess::start(endpoint(small_response()));
+    let fields: String = (0..90).map(|field| format!("x{field}: {}\r\n", "y".repeat(160))).collect();
+    let _clients = clients_that_send(&proxy, format!("GET /look HTTP/1.1\r\nhost: a\r\n{fields}").as_bytes());
+    thread::sleep(Duration::from_millis(500));
+    proxy.assert_within_memory_limit();
+    assert_answers(&proxy);
+}
+
+#[test]
+fn requests_whose_body_never_ends_keep_the_memory_limit() {
+    let proxy = ProxyProcess::start(endpoint(small_response()));
+    let fields: String = (0..90).map(|field| format!("x{field}: {field}\r\n")).collect();
+    let head = format!(
+        "POST /look HTTP/1.1\r\nhost: a\r\n{fields}content-length: {MAX_BUFFERED_BODY_BYTES}\r\n\r\n"
+    );
+    let body = "x".repeat(MAX_BUFFERED_BODY_BYTES - 1);
+    let _clients = clients_that_send(&proxy, (head + &body).as_bytes());
+    thread::sleep(Duration::from_millis(2000));
+    proxy.assert_within_memory_limit();
+    assert_answers(&proxy);
+}
+
+#[test]
+fn buffered_responses_that_are_not_read_keep_the_memory_limit() {
+    let body = "x".repeat(MAX_BUFFERED_BODY_BYTES);
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {MAX_BUFFERED_BODY_BYTES}\r\n\r\n{body}");
+    let proxy = ProxyProcess::start(endpoint(response));
+    let _clients = clients_that_send(&proxy, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
+    thread::sleep(Duration::from_millis(2000));
+    proxy.assert_within_memory_limit();
+    assert_answers(&proxy);
+}
+
+#[test]
+fn streamed_responses_that_are_not_read_keep_the_memory_limit() {
+    let chunk = format!("{:x}\r\n{}\r\n", 1 << 20, "x".repeat(1 << 20));
+    let response = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunk.repeat(4));
+    let proxy = ProxyProcess::start(endpoint(response));
+    let _clients = clients_that_send(&proxy, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
+    thread::sleep(Duration::from_millis(2000));
+    proxy.assert_within_memory_limit();
+    assert_answers(&proxy);
+}
+
+#[test]
+fn pipelined_requests_whose_responses_are_not_read_keep_the_memory_limit() {
+    let proxy = ProxyProcess::start(endpoint(small_response()));
+    let requests = "GET /look HTTP/1.1\r\nhost: a\r\n\r\n".repeat(30_000);
+    let _clients = clients_that_send(&proxy, requests.as_bytes());
+    thread::sleep(Duration::from_millis(500));
+    proxy.assert_within_memory_limit();
+    assert_answers(&proxy);
+}
--- a/crates/proxy/src/commands/error.rs
+++ b/crates/proxy/src/commands/error.rs
@@ -1,6 +1,7 @@
 //! Reasons for which a command of the runtime API is refused. The texts are the answers on the wire, most of
 //! them the same as HAProxy's; controllers compare them.
 
+use lockcroft_runtime_api::MAX_RESPONSE_BYTES;
 use thiserror::Error;
 
 /// The text of the answer to a command, which is empty if there is nothing to report, or the reason for its refusal.
@@ -78,6 +79,17 @@
     /// The value of the variable is not of the form `int(N)`.
     #[error("Only int(<n>) is known here.")]
     VariableExpression,
+    /// There are as many variables, map entries, servers or prepared commands as allowed.
+    #[error("Too many {what}, at most {allowed}.")]
+    TooMany {
+        /// What there are too many of.
+        what: &'static str,
+        /// The greatest number.
+        allowed: usize,
+    },
+    /// The answers to the commands of a line are too long.
+    #[error("The answers to this line are too long, at most {MAX_RESPONSE_BYTES} bytes.")]
+    AnswersTooLong,
     /// Another controller has set a later epoch (fencing token).
     #[error("Superseded: a pilot of epoch {epoch} has taken over.")]
     Superseded {
--- a/crates/proxy/src/framing_validator.rs
+++ b/crates/proxy/src/framing_validator.rs
@@ -102,6 +102,17 @@
         self.state == FramingState::NEW_HEAD
     }
 
+    /// Returns the number of bytes of an incomplete head or line that are kept.
+    #[must_use]
+    pub fn incomplete_line_bytes(&self) -> usize {
+        match &self.state {
+            FramingState::Head(seen) | FramingState::ChunkSize(seen) | FramingState::Trailer(seen) => {
+                seen.len()
+            }
+            FramingState::Body(_) | FramingState::Chunk(_) => 0,
+        }
+    }
+
     /// Skips data of a body or chunk and returns the bytes after it.
     fn read_data<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let (FramingState::Body(remaining) | FramingState::Chunk(remaining)) = &mut self.state else {
--- a/crates/proxy/src/io/attempt.rs
+++ b/crates/proxy/src/io/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use tokio::time::timeout;
 
-use super::bodies::{Body, RequestBody, empty_body, full_body};
+use super::bodies::{Body, RequestBody, buffered_response, empty_body};
 use super::connection_pool::{Connection, SendResult, connect, send};
 use super::headers::{
     CLIENT_TIMEOUT, PROXY_NAME, REJECTED_UNREAD, TABLE_VERSION, header_value, remove_hop_by_hop,
@@ -134,8 +134,8 @@
 
 /// Receives the body of a response from an endpoint. A body of a known size up to `max_buffered_body_bytes`
 /// is buffered before any byte is sent to the client: if it is incomplete, the client gets status 502 instead
-/// of a truncated response. Larger bodies and those of unknown size are streamed, and their connection is not
-/// reused.
+/// of a truncated response. Larger bodies, those of unknown size and those for which the budget has no bytes
+/// left are streamed, and their connection is not reused.
 async fn receive_response(
     response: Response<Incoming>,
     connection: Connection,
@@ -146,14 +146,16 @@
     let outcome = classify_response(head.status, &head.headers);
     remove_hop_by_hop(&mut head.headers);
     let max_bytes = worker.config.max_buffered_body_bytes;
-    let is_small = body.size_hint().upper().is_some_and(|upper| upper <= max_bytes as u64);
-    if !is_small {
+    let mut reservation = worker.buffered_bytes.reservation();
+    let small_size = body.size_hint().upper().filter(|upper| *upper <= max_bytes as u64);
+    let is_buffered = small_size.is_some_and(|size| reservation.try_resize(size as usize).is_ok());
+    if !is_buffered {
         return AttemptResult { outcome, response: Response::from_parts(head, body.boxed_unsync()) };
     }
     match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => {
             worker.connection_pool.borrow_mut().put(address, connection);
-            let body = full_body(collected.to_bytes());
+            let body = buffered_response(collected.to_bytes(), reservation);
             AttemptResult { outcome, response: Response::from_parts(head, body) }
         }
         Err(_) => AttemptResult::bad_gateway(AttemptOutcome::ConnectionBroken),
--- a/crates/proxy/src/io/clients.rs
+++ b/crates/proxy/src/io/clients.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use super::client_stream::{ClientHandle, ClientStream};
+use super::connection_pool::MAX_CONNECTION_BUFFER_BYTES;
 use super::forward::forward;
 use super::guards::CountGuard;
 use super::request_validator::RequestValidator;
@@ -77,11 +78,15 @@
     let stream = ClientStream::new(stream);
     let handle = stream.handle();
     let between_requests = Rc::new(Cell::new(true));
-    let validated = RequestValidator::new(stream, between_requests.clone());
+    let validated =
+        RequestValidator::new(stream, between_requests.clone(), worker.buffered_bytes.reservation());
     let service = service_fn(|request| forward(request, worker.clone()));
     let mut http = http1::Builder::new();
     // A client that has only closed its sending side still waits for the response.
-    http.half_close(true).timer(TokioTimer::new()).header_read_timeout(worker.config.header_timeout);
+    http.half_close(true)
+        .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
+        .timer(TokioTimer::new())
+        .header_read_timeout(worker.config.header_timeout);
     let mut serving = pin!(http.serve_connection(TokioIo::new(validated), service));
     let mut reset = pin!(handle.wait_for_reset());
     tokio::select! {
--- a/crates/proxy/src/io/connection_pool.rs
+++ b/crates/proxy/src/io/connection_pool.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -18,6 +18,9 @@
 /// An open connection to an endpoint.
 pub type Connection = SendRequest<Body>;
 
+/// The maximum size of the HTTP library's buffer for one direction of a connection, and so of a head.
+pub const MAX_CONNECTION_BUFFER_BYTES: usize = 1 << 15;
+
 const MAX_IDLE_PER_ENDPOINT: usize = 512;
 
 struct IdleConnection {
@@ -74,7 +77,9 @@
 pub async fn connect(address: SocketAddr, connect_timeout: Duration) -> Option<Connection> {
     let stream = timeout(connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (connection, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+    let mut http = Builder::new();
+    http.max_buf_size(MAX_CONNECTION_BUFFER_BYTES);
+    let (connection, driver) = http.handshake(TokioIo::new(stream)).await.ok()?;
     // The driver task ends when the last handle of the connection is dropped.
     spawn_local(driver);
     Some(connection)
--- a/crates/proxy/src/io/control.rs
+++ b/crates/proxy/src/io/control.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use lockcroft_runtime_api::{
-    AccessLevel, Command, CommandReader, Listener, SessionState, Stream, close_with_error,
+    AccessLevel, Command, CommandReader, Listener, SessionState, Stream, close_with_error, write_response,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use super::worker::Worker;
 use crate::control_session::ControlSession;
@@ -15,10 +17,17 @@
 /// A command about latencies rather than tables. It is recognized only if it is the only command of its line.
 const SHOW_LATENCIES: &str = "show times";
 
-/// Accepts control connections until accepting fails. Open connections are served until the worker is
+/// Delay after a failed accept, such as one for lack of free file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Accepts control connections until this future is dropped. Open connections are served until the worker is
 /// stopped, also if this future is dropped.
 pub async fn accept_connections(listener: Listener, worker: Rc<Worker>) {
-    while let Ok(stream) = listener.accept().await {
+    loop {
+        let Ok(stream) = listener.accept().await else {
+            sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
         let worker = worker.clone();
         spawn_local(async move {
             tokio::select! {
@@ -46,7 +55,7 @@
             worker.inject_stall(&commands);
             let mut out = String::new();
             let session_state = execute_line(commands, &mut session, worker, &mut out).await;
-            stream.write_all(out.as_bytes()).await?;
+            write_response(&mut stream, &out, &worker.unread_responses).await?;
             worker.capacity_changed.notify_waiters();
             if session_state == SessionState::Close {
                 return stream.shutdown().await;
--- a/crates/proxy/src/io/forward.rs
+++ b/crates/proxy/src/io/forward.rs
@@ -87,7 +87,8 @@
         return FinalResponse::without_attempt(rejection(worker));
     }
     let time_left = request.deadline.saturating_sub(worker.now());
-    let body = RequestBody::receive(body, worker.config.max_buffered_body_bytes, time_left).await;
+    let max_bytes = worker.config.max_buffered_body_bytes;
+    let body = RequestBody::receive(body, max_bytes, &worker.buffered_bytes, time_left).await;
     let Some(body) = body else {
         return FinalResponse::without_attempt(status_response(StatusCode::REQUEST_TIMEOUT));
     };
--- a/crates/proxy/src/io/worker.rs
+++ b/crates/proxy/src/io/worker.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lockcroft_runtime_api::{Command, SessionState};
+use lockcroft_runtime_api::{ByteBudget, Command, MAX_UNREAD_RESPONSE_BYTES, SessionState};
 use tokio::sync::{Mutex, Notify, watch};
 
 use super::connection_pool::ConnectionPool;
@@ -16,6 +16,9 @@
 use crate::retry_budget::RetryBudget;
 use crate::routing::RoutingState;
 
+/// The limit on the heads and buffered bodies of all requests and responses together.
+const MAX_BUFFERED_BYTES: usize = 64 << 20;
+
 /// The shared state of a running proxy. A borrow of a cell must not be held across an `await`: another task
 /// that borrows it would panic.
 pub struct Worker {
@@ -29,6 +32,10 @@
     pub latencies: RefCell<Latencies>,
     /// Notified when an attempt ended or tables changed, after which an endpoint may have capacity.
     pub capacity_changed: Notify,
+    /// The limit on heads and buffered bodies, and the bytes that are reserved for them.
+    pub buffered_bytes: ByteBudget,
+    /// The limit on responses to commands that their clients have not read, and their bytes.
+    pub unread_responses: ByteBudget,
     /// The number of requests that wait for capacity.
     pub queued_requests: Rc<Cell<usize>>,
     /// The number of open client connections.
@@ -58,6 +65,8 @@
             retry_budget: RefCell::new(RetryBudget::new(config.retry_ratio)),
             latencies: RefCell::default(),
             capacity_changed: Notify::new(),
+            buffered_bytes: ByteBudget::new(MAX_BUFFERED_BYTES),
+            unread_responses: ByteBudget::new(MAX_UNREAD_RESPONSE_BYTES),
             queued_requests: state.queued_requests.clone(),
             client_connections: Rc::default(),
             state: RefCell::new(state),
@@ -111,7 +120,8 @@
 
     /// Executes a line of commands and appends the answers to `out`. It yields to requests between steps. A
     /// line that changes state waits until other such lines have been executed. If the future is dropped
-    /// before the last step, the routing state is unchanged.
+    /// before the last step, or if too many answers of all connections are waiting, the routing state is
+    /// unchanged.
     pub async fn execute(
         &self,
         commands: Vec<Command>,
@@ -122,7 +132,12 @@
         let has_changes = commands.iter().any(changes_state);
         let _staging_guard = if has_changes { Some(self.staging.lock().await) } else { None };
         let mut transaction = session.begin(commands, &self.state());
+        let mut reservation = self.unread_responses.reservation();
         while !session.step(&mut transaction) {
+            if let Err(error) = reservation.try_resize(transaction.answer_bytes()) {
+                out.push_str(&format!("{error}\n\n"));
+                return SessionState::Close;
+            }
             tokio::task::yield_now().await;
         }
         let session_state = session.finish(transaction, &mut self.state(), out);
--- a/crates/proxy/src/table_transaction.rs
+++ b/crates/proxy/src/table_transaction.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use lockcroft_runtime_api::{Command, SessionState};
+use lockcroft_runtime_api::{Command, MAX_RESPONSE_BYTES, SessionState};
 
 use crate::commands::{CommandError, changes_state};
 use crate::routing::{RoutingState, TableSet};
@@ -22,7 +22,9 @@
     /// The first error of a command that changes something.
     pub(crate) rejection: Option<CommandError>,
     pub(crate) session_state: SessionState,
-    pub(crate) answers: Vec<String>,
+    answers: Vec<String>,
+    /// The length of the answers together.
+    answer_bytes: usize,
 }
 
 /// A prepared batch of commands that is executed again on the state at the time of its commit.
@@ -46,9 +48,28 @@
             rejection: None,
             session_state: SessionState::Stay,
             answers: Vec::new(),
+            answer_bytes: 0,
         }
     }
 
+    /// Adds the answer to a command. Once the answers are too long together, the line is rejected, its remaining
+    /// commands are skipped, and the connection is to be closed.
+    pub(crate) fn push_answer(&mut self, text: String) {
+        self.answer_bytes += text.len();
+        if self.answer_bytes <= MAX_RESPONSE_BYTES {
+            self.answers.push(text);
+            return;
+        }
+        self.rejection.get_or_insert(CommandError::AnswersTooLong);
+        self.answers.push(format!("{}\n", CommandError::AnswersTooLong));
+        self.session_state = SessionState::Close;
+    }
+
+    /// Returns the length of the answers so far, in bytes.
+    pub(crate) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
     /// Returns true if no command is left to be staged.
     pub(crate) fn is_complete(&self) -> bool {
         self.session_state != SessionState::Stay || (self.remaining.is_empty() && self.replay.is_none())
--- a/crates/runtime-api/src/byte_budget.rs
+++ b/crates/runtime-api/src/byte_budget.rs
@@ -1,7 +1,7 @@
 //! A limit on the sum of the bytes that the buffers of all connections of a process hold.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use thiserror::Error;
 
@@ -14,14 +14,14 @@
 #[derive(Clone, Debug)]
 pub struct ByteBudget {
     limit: usize,
-    reserved: Rc<Cell<usize>>,
+    reserved: Arc<AtomicUsize>,
 }
 
 impl ByteBudget {
     /// Returns a budget of this many bytes, none of which are reserved.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        ByteBudget { limit, reserved: Rc::default() }
+        ByteBudget { limit, reserved: Arc::default() }
     }
 
     /// Returns a reservation of no bytes.
@@ -33,7 +33,7 @@
     /// Returns the number of reserved bytes.
     #[must_use]
     pub fn reserved(&self) -> usize {
-        self.reserved.get()
+        self.reserved.load(Ordering::Relaxed)
     }
 }
 
@@ -50,11 +50,15 @@
     /// # Errors
     /// The budget has fewer bytes left than are needed in addition. The reservation is unchanged then.
     pub fn try_resize(&mut self, bytes: usize) -> Result<(), BudgetExceeded> {
-        let others = self.budget.reserved.get() - self.bytes;
-        if bytes > self.bytes && others.saturating_add(bytes) > self.budget.limit {
-            return Err(BudgetExceeded);
-        }
-        self.budget.reserved.set(others + bytes);
+        let is_growing = bytes > self.bytes;
+        let resized = |reserved: usize| {
+            let total = (reserved - self.bytes).saturating_add(bytes);
+            (!is_growing || total <= self.budget.limit).then_some(total)
+        };
+        self.budget
+            .reserved
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, resized)
+            .map_err(|_reserved| BudgetExceeded)?;
         self.bytes = bytes;
         Ok(())
     }
@@ -62,6 +66,6 @@
 
 impl Drop for ByteReservation {
     fn drop(&mut self) {
-        self.budget.reserved.set(self.budget.reserved.get() - self.bytes);
+        self.budget.reserved.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/runtime-api/src/command_reader.rs
+++ b/crates/runtime-api/src/command_reader.rs
@@ -22,9 +22,10 @@
     incomplete: Option<PayloadLine>,
 }
 
-/// A line of commands and the part of its payload that was received.
+/// A line of commands and the part of its payload that was received. The line is kept as text, which is shorter than
+/// its commands.
 struct PayloadLine {
-    commands: Vec<Command>,
+    line: String,
     payload: String,
     /// The line that terminates the payload.
     terminator: String,
@@ -42,11 +43,13 @@
     }
 
     /// Returns the commands, the last one with the payload.
-    fn finish(mut self) -> Vec<Command> {
-        if let Some(last) = self.commands.last_mut() {
+    fn finish(self) -> Vec<Command> {
+        let mut commands = parse_line(&self.line);
+        take_payload_marker(&mut commands);
+        if let Some(last) = commands.last_mut() {
             last.payload = Some(self.payload);
         }
-        self.commands
+        commands
     }
 }
 
@@ -79,7 +82,7 @@
                     let Some(terminator) = take_payload_marker(&mut commands) else {
                         return Ok(Some(commands));
                     };
-                    self.incomplete = Some(PayloadLine { commands, payload: String::new(), terminator });
+                    self.incomplete = Some(PayloadLine { line, payload: String::new(), terminator });
                 }
             }
         }
--- a/crates/runtime-api/src/lib.rs
+++ b/crates/runtime-api/src/lib.rs
@@ -24,6 +24,8 @@
 pub use level::{AccessLevel, UnknownLevel};
 pub use line_buffer::LineBuffer;
 pub use response_reader::ResponseReader;
-pub use server::{MAX_RESPONSE_BYTES, MAX_SESSIONS, close_with_error, serve};
+pub use server::{
+    MAX_RESPONSE_BYTES, MAX_SESSIONS, MAX_UNREAD_RESPONSE_BYTES, close_with_error, serve, write_response,
+};
 pub use session::{Session, SessionState};
 pub use tokenizer::{Command, escape_word, parse_line};
--- a/crates/runtime-api/src/server.rs
+++ b/crates/runtime-api/src/server.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::address::{Listener, Stream};
+use crate::byte_budget::ByteBudget;
 use crate::command_handler::CommandHandler;
 use crate::command_reader::{CommandReader, LineTooLong};
 use crate::level::AccessLevel;
@@ -21,6 +22,9 @@
 /// The maximum length of a response in bytes. The connection is closed instead of sending a longer one.
 pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// The maximum length of all responses of a listener together that their clients have not read yet, in bytes.
+pub const MAX_UNREAD_RESPONSE_BYTES: usize = 32 << 20;
+
 /// The time limit for writing a response to a client that does not read it. The connection is closed afterwards.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -43,6 +47,8 @@
     handler: Rc<RefCell<dyn CommandHandler>>,
     /// Called after each line of commands has been executed.
     on_line: Box<dyn Fn()>,
+    /// The limit on responses that are being written, and their bytes.
+    unread_responses: ByteBudget,
 }
 
 /// Accepts connections and runs a session of the given access level on each. Runs until the future is dropped, which
@@ -59,7 +65,8 @@
     handler: Rc<RefCell<dyn CommandHandler>>,
     on_line: impl Fn() + 'static,
 ) {
-    let context = Rc::new(ListenerContext { level, handler, on_line: Box::new(on_line) });
+    let unread_responses = ByteBudget::new(MAX_UNREAD_RESPONSE_BYTES);
+    let context = Rc::new(ListenerContext { level, handler, on_line: Box::new(on_line), unread_responses });
     let mut sessions = JoinSet::new();
     loop {
         let Ok(stream) = listener.accept().await else {
@@ -92,7 +99,7 @@
             let mut out = String::new();
             let state = session.execute_line(&commands, &mut *context.handler.borrow_mut(), &mut out);
             (context.on_line)();
-            write(&mut stream, &out).await?;
+            write_response(&mut stream, &out, &context.unread_responses).await?;
             match state {
                 SessionState::Stay => {}
                 SessionState::Close => return stream.shutdown().await,
@@ -137,7 +144,7 @@
     let mut ignored_input = [0; 256];
     loop {
         let output = context.handler.borrow_mut().read_since(&mut position);
-        write(&mut stream, &output).await?;
+        write_response(&mut stream, &output, &context.unread_responses).await?;
         if let Ok(read) = timeout(FOLLOW_INTERVAL, stream.read(&mut ignored_input)).await {
             return read.map(|_| ());
         }
@@ -149,10 +156,29 @@
     timeout(IDLE_TIMEOUT, stream.read_buf(reader.buffer())).await?
 }
 
-/// Writes the text. Fails after [`WRITE_TIMEOUT`], or if the text is longer than [`MAX_RESPONSE_BYTES`].
-async fn write(stream: &mut Box<dyn Stream>, text: &str) -> io::Result<()> {
+/// Writes a response, whose bytes count towards the budget until the client has read it. If the budget has too few
+/// left, the client gets the error instead.
+///
+/// # Errors
+/// The response is longer than [`MAX_RESPONSE_BYTES`] or the budget allows, or the client did not read it within 10 s.
+/// The connection has to be closed.
+pub async fn write_response(
+    stream: &mut Box<dyn Stream>,
+    text: &str,
+    unread_responses: &ByteBudget,
+) -> io::Result<()> {
     if text.len() > MAX_RESPONSE_BYTES {
         return Err(io::Error::from(io::ErrorKind::OutOfMemory));
     }
+    let mut reservation = unread_responses.reservation();
+    if let Err(error) = reservation.try_resize(text.len()) {
+        write(stream, &format!("{error}\n\n")).await?;
+        return Err(io::Error::other(error));
+    }
+    write(stream, text).await
+}
+
+/// Writes the text. Fails after [`WRITE_TIMEOUT`].
+async fn write(stream: &mut Box<dyn Stream>, text: &str) -> io::Result<()> {
     timeout(WRITE_TIMEOUT, stream.write_all(text.as_bytes())).await?
 }
--- a/crates/runtime-api/src/session.rs
+++ b/crates/runtime-api/src/session.rs
@@ -3,6 +3,7 @@
 
 use crate::command_handler::{CommandHandler, CommandResult, CommandSpec};
 use crate::level::AccessLevel;
+use crate::server::MAX_RESPONSE_BYTES;
 use crate::tokenizer::Command;
 
 /// The state of the connection after a command or a line.
@@ -52,7 +53,7 @@
     }
 
     /// Executes the commands of a line, and appends their responses, each with its empty line, to `out`. Commands after
-    /// one that closes or follows are skipped.
+    /// one that closes or follows are skipped, and those after [`MAX_RESPONSE_BYTES`] of responses.
     pub fn execute_line(
         &mut self,
         commands: &[Command],
@@ -69,6 +70,9 @@
             if state != SessionState::Stay {
                 return state;
             }
+            if out.len() > MAX_RESPONSE_BYTES {
+                return SessionState::Close;
+            }
         }
         if self.is_interactive { SessionState::Stay } else { SessionState::Close }
     }
