Refuse variables, map entries and servers beyond a limit

Cause: each line is staged on a copy of the proxy's state, and variables, entries of maps and prepared versions had no limit. Prepared versions were never dropped.

Change: 1,024 variables, 1,024 entries of a map, 65,536 servers and three prepared commands for each of these; of 16 prepared versions, the first is dropped. What exists can still be changed.

--- a/crates/proxy/src/commands/maps.rs
+++ b/crates/proxy/src/commands/maps.rs
@@ -9,6 +9,11 @@
 
 type ClassMap = BTreeMap<String, String>;
 
+/// The maximum number of entries of a map. A proxy has at most 64 classes.
+pub const MAX_MAP_ENTRIES: usize = 1024;
+/// The maximum number of prepared versions. Beyond it, the one that was prepared first is dropped.
+pub const MAX_PREPARED_MAPS: usize = 16;
+
 impl RoutingState {
     /// Executes a command of the form `ACTION map [@VERSION] classes …`.
     pub(super) fn map_command(&mut self, words: &[&str], payload: Option<&str>) -> CommandOutput {
@@ -37,6 +42,9 @@
     fn prepare_map(&mut self) -> String {
         self.last_prepared_version += 1;
         self.prepared_maps.insert(self.last_prepared_version, ClassMap::default());
+        if self.prepared_maps.len() > MAX_PREPARED_MAPS {
+            self.prepared_maps.pop_first();
+        }
         format!("New version created: {}\n", self.last_prepared_version)
     }
 
@@ -69,7 +77,7 @@
             let entry = map.get_mut(*key).ok_or(CommandError::EntryNotFound)?;
             *entry = (*value).into();
         }
-        ("add", [key, value]) => drop(map.insert((*key).into(), (*value).into())),
+        ("add", [key, value]) => add_entry(map, key, value)?,
         ("add", []) => add_payload(map, payload.ok_or(CommandError::MissingKeyAndValue)?)?,
         ("del", [key]) => drop(map.remove(*key).ok_or(CommandError::EntryNotFound)?),
         ("clear", []) => map.clear(),
@@ -78,11 +86,19 @@
     Ok(())
 }
 
+fn add_entry(map: &mut ClassMap, key: &str, value: &str) -> Result<(), CommandError> {
+    if map.len() >= MAX_MAP_ENTRIES && !map.contains_key(key) {
+        return Err(CommandError::TooMany { what: "map entries", allowed: MAX_MAP_ENTRIES });
+    }
+    map.insert(key.into(), value.into());
+    Ok(())
+}
+
 /// Adds an entry for each line of the payload, up to the first malformed line.
 fn add_payload(map: &mut ClassMap, payload: &str) -> Result<(), CommandError> {
     for line in payload.lines() {
         let (key, value) = line.split_once(' ').ok_or(CommandError::MissingValue)?;
-        map.insert(key.into(), value.trim().into());
+        add_entry(map, key, value.trim())?;
     }
     Ok(())
 }
--- a/crates/proxy/src/commands/mod.rs
+++ b/crates/proxy/src/commands/mod.rs
@@ -10,7 +10,9 @@
 use lockcroft_runtime_api::{AccessLevel, Command, CommandHandler, CommandResult, CommandSpec};
 
 pub use error::CommandError;
-pub use servers::MAX_BACKENDS;
+pub use maps::{MAX_MAP_ENTRIES, MAX_PREPARED_MAPS};
+pub use servers::{MAX_BACKENDS, MAX_SERVERS};
+pub use variables::MAX_VARIABLES;
 pub(crate) use variables::parse_int_expression;
 
 use crate::routing::RoutingState;
--- a/crates/proxy/src/commands/servers.rs
+++ b/crates/proxy/src/commands/servers.rs
@@ -10,6 +10,9 @@
 /// can't add backends at run time, so the configuration of every HAProxy instance has to define all of them.
 pub const MAX_BACKENDS: usize = 1024;
 
+/// The maximum number of servers of all backends together.
+pub const MAX_SERVERS: usize = 1 << 16;
+
 /// The name of an entry in commands: `backend/server`.
 #[derive(Clone, Copy)]
 struct EntryPath<'a> {
@@ -53,6 +56,10 @@
         if !path.has_known_backend() {
             return Err(CommandError::NoSuchBackend);
         }
+        let servers: usize = self.backends.values().map(|backend| backend.entries().len()).sum();
+        if servers >= MAX_SERVERS {
+            return Err(CommandError::TooMany { what: "servers", allowed: MAX_SERVERS });
+        }
         let policy = self.limits.policy;
         let backend = self
             .backends
--- a/crates/proxy/src/commands/variables.rs
+++ b/crates/proxy/src/commands/variables.rs
@@ -3,12 +3,19 @@
 use super::error::{CommandError, CommandOutput};
 use crate::routing::RoutingState;
 
+/// The maximum number of variables. Controllers set a few for each class.
+pub const MAX_VARIABLES: usize = 1024;
+
 impl RoutingState {
     pub(super) fn set_variable(&mut self, name: &str, expression: &str) -> CommandOutput {
         if !name.starts_with("proc.") {
             return Err(CommandError::VariableScope);
         }
-        self.variables.insert(name.into(), parse_int_expression(expression)?);
+        let value = parse_int_expression(expression)?;
+        if self.variables.len() >= MAX_VARIABLES && !self.variables.contains_key(name) {
+            return Err(CommandError::TooMany { what: "variables", allowed: MAX_VARIABLES });
+        }
+        self.variables.insert(name.into(), value);
         Ok(String::new())
     }
 
--- a/crates/proxy/src/control_session.rs
+++ b/crates/proxy/src/control_session.rs
@@ -7,13 +7,16 @@
     AccessLevel, Command, CommandHandler, CommandResult, CommandSpec, Session, SessionState,
 };
 
-use crate::commands::{CommandError, changes_state, parse_int_expression};
+use crate::commands::{CommandError, MAX_SERVERS, changes_state, parse_int_expression};
 use crate::routing::RoutingState;
 use crate::table_transaction::{Replay, TableTransaction};
 
 /// Commands staged per step of a transaction. A step takes some microseconds, after which requests can be served.
 const MAX_COMMANDS_PER_STEP: usize = 4;
 
+/// The maximum number of commands of a prepared batch: each server may be added, changed and deleted.
+const MAX_PREPARED_COMMANDS: usize = 3 * MAX_SERVERS;
+
 /// The session of one control connection: its access level, epoch and prepared batch.
 pub struct ControlSession {
     session: Session,
@@ -109,7 +112,7 @@
             if !text.is_empty() {
                 text.push('\n');
             }
-            transaction.answers.push(text);
+            transaction.push_answer(text);
             return;
         }
         let state = match &mut self.prepared {
@@ -119,11 +122,17 @@
         let mut handler = StagingHandler { state, rejection: &mut transaction.rejection };
         let mut text = String::new();
         transaction.session_state = self.session.execute(command, &mut handler, &mut text);
-        transaction.answers.push(text);
+        transaction.push_answer(text);
         if changes_state(command)
             && let Some(prepared) = &mut self.prepared
         {
             prepared.commands.push(command.clone());
+            if prepared.commands.len() > MAX_PREPARED_COMMANDS {
+                let error =
+                    CommandError::TooMany { what: "prepared commands", allowed: MAX_PREPARED_COMMANDS };
+                transaction.rejection.get_or_insert(error);
+                self.prepared = None;
+            }
         }
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,7 +20,9 @@
 
 pub use attempts::{AttemptOutcome, may_retry};
 pub use choose::{Chooser, LoadBalancingPolicy, SmoothWeightedRoundRobin, UnknownPolicy, WeightedRandom};
-pub use commands::{CommandError, MAX_BACKENDS, changes_state};
+pub use commands::{
+    CommandError, MAX_BACKENDS, MAX_MAP_ENTRIES, MAX_PREPARED_MAPS, MAX_SERVERS, MAX_VARIABLES, changes_state,
+};
 pub use config::{ProxyConfig, SCHEMA, TableFilesConfig};
 pub use control_session::ControlSession;
 pub use framing_validator::{FramingError, FramingValidator};
--- a/crates/proxy/tests/commands.rs
+++ b/crates/proxy/tests/commands.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use expect_test::expect;
-use lockcroft_proxy::{AttemptOutcome, Choice, LoadBalancingLimits, LoadBalancingPolicy, RoutingState};
+use lockcroft_proxy::{
+    AttemptOutcome, Choice, LoadBalancingLimits, LoadBalancingPolicy, MAX_MAP_ENTRIES, MAX_PREPARED_MAPS,
+    MAX_SERVERS, MAX_VARIABLES, RoutingState,
+};
 use lockcroft_runtime_api::{AccessLevel, Session, parse_line};
 
 fn new_state() -> RoutingState {
@@ -167,3 +170,31 @@
             .any(|line| line.starts_with("look-up,FRONTEND,") && line.contains(",1400,"))
     );
 }
+
+/// Guards against memory that grows, and lines that take ever longer, as a client sends commands with ever new names.
+#[test]
+fn ever_new_names_are_refused_beyond_a_limit() {
+    let mut state = new_state();
+    let mut answer_after = |count: usize, line: &dyn Fn(usize) -> String| {
+        (0..count).for_each(|number| drop(execute(&mut state, &line(number))));
+        execute(&mut state, &line(count))
+    };
+    let variable = |number| format!("set var proc.name-{number} int(1)");
+    assert_eq!(answer_after(MAX_VARIABLES, &variable), "Too many variables, at most 1024.\n\n");
+    let entry = |number| format!("add map classes name-{number} t0");
+    assert_eq!(answer_after(MAX_MAP_ENTRIES, &entry), "Too many map entries, at most 1024.\n\n");
+    let server = |number| format!("add server t0/name-{number} 127.0.0.1:9");
+    assert_eq!(answer_after(MAX_SERVERS, &server), "Too many servers, at most 65536.\n\n");
+    // What exists can still be changed.
+    assert_eq!(execute(&mut state, "set var proc.name-7 int(2)"), "\n");
+    assert_eq!(execute(&mut state, "set map classes name-7 t1"), "\n");
+    assert_eq!(execute(&mut state, "set server t0/name-7 weight 3"), "\n");
+}
+
+#[test]
+fn the_version_of_a_map_that_was_prepared_first_is_dropped_beyond_a_limit() {
+    let mut state = new_state();
+    (0..=MAX_PREPARED_MAPS).for_each(|_| drop(execute(&mut state, "prepare map classes")));
+    assert_eq!(execute(&mut state, "commit map @1 classes"), "Version number out of range.\n\n");
+    assert_eq!(execute(&mut state, "commit map @2 classes"), "\n");
+}
