Forward no request of a client that has reset its connection

Cause: the HTTP library hands over a request as soon as it has read it, and the end of the connection is known only by an event that the proxy learns of in a later step.

Change: before a request is forwarded, the system is asked whether the client has reset the connection.

--- a/crates/cli/tests/overload/clients.rs
+++ b/crates/cli/tests/overload/clients.rs
@@ -1,8 +1,9 @@
 //! Connections of clients that misbehave.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket, Type};
 
@@ -25,3 +26,36 @@
     stream.set_write_timeout(Some(SEND_TIMEOUT)).expect("set");
     let _ = stream.write_all(bytes);
 }
+
+/// How long a client sends at full speed.
+const FLOOD: Duration = Duration::from_secs(3);
+
+/// Sends messages with ever new numbers on one connection at full speed and discards what it receives, while another
+/// client asks again and again. Returns the longest time that one question took.
+pub fn longest_answer_during_flood<S: Write + Send + 'static>(
+    mut sender: S,
+    message: impl Fn(usize) -> String + Send + 'static,
+    mut ask: impl FnMut(),
+) -> Duration {
+    let flood = thread::spawn(move || {
+        let end = Instant::now() + FLOOD;
+        // A connection that the program closes ends the flood.
+        (0..)
+            .take_while(|_| Instant::now() < end)
+            .try_for_each(|number| sender.write_all(message(number).as_bytes()))
+    });
+    let mut longest = Duration::ZERO;
+    while !flood.is_finished() {
+        let asked_at = Instant::now();
+        ask();
+        longest = longest.max(asked_at.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    println!("the longest answer took {longest:?}");
+    longest
+}
+
+/// Reads and discards what a connection receives, until it ends.
+pub fn discard_received(mut reader: impl Read + Send + 'static) {
+    thread::spawn(move || while let Ok(1..) = reader.read(&mut [0; 1 << 16]) {});
+}
--- a/crates/cli/tests/overload/control.rs
+++ b/crates/cli/tests/overload/control.rs
@@ -5,10 +5,11 @@
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lockcroft_scenario::ControllerProcess;
 
+use crate::clients::{discard_received, longest_answer_during_flood};
 use crate::controller_fixture::{ControllerFixture, endpoint_list_xml};
 use crate::process_memory::assert_memory_below;
 use crate::proxy::{ProxyProcess, endpoint, small_response};
@@ -21,8 +22,6 @@
 const SERVERS: usize = 1500;
 /// The longest line of commands, in bytes.
 const MAX_LINE_BYTES: usize = 16_384;
-/// How long a client sends at full speed.
-const FLOOD: Duration = Duration::from_secs(3);
 /// The time within which another client has to be answered.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -49,7 +48,7 @@
 }
 
 /// Sends a line and returns the answer up to the end of the connection.
-fn ask(path: &Path, line: &str) -> String {
+pub fn ask(path: &Path, line: &str) -> String {
     let mut stream = connect(path);
     stream.write_all(line.as_bytes()).expect("sent");
     let mut answer = String::new();
@@ -128,25 +127,10 @@
 
 /// Sends lines with ever new numbers on one connection at full speed, while another client asks.
 fn flood(path: &Path, line: impl Fn(usize) -> String + Send + 'static) -> Duration {
-    let mut stream = connect(path);
-    stream.write_all(b"prompt i\n").expect("sent");
-    let mut reader = stream.try_clone().expect("cloned");
-    thread::spawn(move || while let Ok(1..) = reader.read(&mut [0; 1 << 16]) {});
-    let sender = thread::spawn(move || {
-        let end = Instant::now() + FLOOD;
-        (0..)
-            .take_while(|_| Instant::now() < end)
-            .try_for_each(|number| stream.write_all(line(number).as_bytes()))
-    });
-    let mut longest = Duration::ZERO;
-    while !sender.is_finished() {
-        let asked_at = Instant::now();
-        ask(path, "show info\n");
-        longest = longest.max(asked_at.elapsed());
-        thread::sleep(Duration::from_millis(50));
-    }
-    println!("the longest answer took {longest:?}");
-    longest
+    let mut sender = connect(path);
+    sender.write_all(b"prompt i\n").expect("sent");
+    discard_received(sender.try_clone().expect("cloned"));
+    longest_answer_during_flood(sender, line, || drop(ask(path, "show info\n")))
 }
 
 #[test]
--- a/crates/cli/tests/overload/main.rs
+++ b/crates/cli/tests/overload/main.rs
@@ -12,6 +12,7 @@
 mod platform_testbed;
 
 mod clients;
+mod closing;
 mod control;
 mod platform;
 mod process_memory;
--- a/crates/cli/tests/overload/platform.rs
+++ b/crates/cli/tests/overload/platform.rs
@@ -1,12 +1,12 @@
 //! Clients of `lockcroft platform`.
 
-use std::io::Read;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use serde_json::json;
 
-use crate::clients::{connect_with_small_window, send_some};
+use crate::clients::{connect_with_small_window, discard_received, longest_answer_during_flood, send_some};
 use crate::platform_controller::{PlatformController, attach_message, free_address};
 use crate::platform_testbed::{Discovery, endpoint, entry};
 use crate::process_memory::assert_memory_below;
@@ -109,3 +109,79 @@
     }
     assert_within_memory_limit(&controller);
 }
+
+/// The time within which another client has to be answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Sends messages at full speed after this first one, while another client asks for signs of life.
+fn flood(first: &str, message: fn(usize) -> String) {
+    let controller = start_controller();
+    let mut heartbeat = controller.attach_proxy(1, false);
+    let mut sender = controller.connect();
+    sender.send(first);
+    discard_received(sender.stream.try_clone().expect("cloned"));
+    let longest = longest_answer_during_flood(sender.stream, message, || {
+        heartbeat.send("{\"t\":\"hb\"}\n");
+        heartbeat.wait_for_line(&["hb_ok"]).expect("an answer");
+    });
+    assert!(longest < ANSWER_TIMEOUT, "{longest:?} for {}", message(7));
+    assert_within_memory_limit(&controller);
+}
+
+#[test]
+fn messages_of_one_client_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let collector = "{\"t\":\"telemetry\",\"locality\":\"a\"}\n";
+    flood("", |_| "{\"t\":\"hb\"}\n".into());
+    flood(&attach_message(2), |_| "{\"t\":\"hb\"}\n".into());
+    flood(&attach_message(2), |number| format!("{{\"t\":\"unknown-{number}\"}}\n"));
+    flood(&attach_message(2), |number| {
+        format!("{{\"t\":\"done\",\"node\":2,\"nonce\":{number},\"latency\":1}}\n")
+    });
+    flood(collector, |number| report_of(&format!("s-{number}")));
+    flood(collector, |_| report_of("s-a"));
+    flood(collector, |number| {
+        format!(
+            "{{\"t\":\"client_stats\",\"node\":2,\"route\":\"new-{number}\",\"total\":1,\"errors\":0,\"interval\":9}}\n"
+        )
+    });
+}
+
+/// A client that attaches under ever new numbers, each on a connection of its own.
+#[test]
+fn attachments_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let controller = start_controller();
+    let mut heartbeat = controller.attach_proxy(1, false);
+    let sender = AttachingClient { address: controller.listen };
+    let longest = longest_answer_during_flood(
+        sender,
+        |number| attach_message(2 + number % (PROXIES - 2)),
+        || {
+            heartbeat.send("{\"t\":\"hb\"}\n");
+            heartbeat.wait_for_line(&["hb_ok"]).expect("an answer");
+        },
+    );
+    assert!(longest < ANSWER_TIMEOUT, "{longest:?}");
+    assert_within_memory_limit(&controller);
+}
+
+/// Opens a connection for each message, and closes it.
+struct AttachingClient {
+    address: SocketAddr,
+}
+
+impl Write for AttachingClient {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        TcpStream::connect(self.address)?.write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn report_of(endpoint: &str) -> String {
+    json!({"t": "upstream_stats", "locality": "a", "endpoint": endpoint, "total": 9, "errors": 1, "rtt": 4,
+        "interval": 9})
+    .to_string()
+        + "\n"
+}
--- a/crates/cli/tests/overload/proxy.rs
+++ b/crates/cli/tests/overload/proxy.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::clients::{connect_with_small_window, send_some};
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::clients::{connect_with_small_window, discard_received, longest_answer_during_flood, send_some};
 use crate::controller_fixture::PROGRAM;
 use crate::platform_controller::free_address;
 use crate::process_memory::assert_memory_below;
@@ -64,6 +66,31 @@
         self.folder.path().join("r1.sock")
     }
 
+    /// Checks that the proxy still answers another client.
+    pub fn assert_answers(&self) {
+        let mut stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(Duration::from_secs(3))).expect("set");
+        stream.write_all(b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n").expect("sent");
+        let mut buffer = [0; 64];
+        let read = stream.read(&mut buffer).expect("an answer in time");
+        let answer = String::from_utf8_lossy(&buffer[..read]);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+
+    /// Stops the process by SIGSTOP and waits until it stands still.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.id())).expect("the process runs");
+        while !stat().contains(") T ") {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.id() as i32).expect("a process");
+        kill_process(pid, signal).expect("the process runs");
+    }
+
     pub fn assert_within_memory_limit(&self) {
         assert_memory_below(self.id(), MEMORY_LIMIT_MB);
     }
@@ -111,17 +138,6 @@
     (0..CLIENTS).map(connect).collect()
 }
 
-/// Checks that the proxy still answers another client.
-fn assert_answers(proxy: &ProxyProcess) {
-    let mut stream = TcpStream::connect(proxy.address).expect("connected");
-    stream.set_read_timeout(Some(Duration::from_secs(3))).expect("set");
-    stream.write_all(b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n").expect("sent");
-    let mut buffer = [0; 64];
-    let read = stream.read(&mut buffer).expect("an answer in time");
-    let answer = String::from_utf8_lossy(&buffer[..read]);
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-}
-
 /// Guards against a request that waits for another client's body: its endpoint had answered before the end of that body,
 /// and the connection was reused.
 #[test]
@@ -133,7 +149,7 @@
     let request = format!("POST /look HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{part}");
     stream.write_all(request.as_bytes()).expect("sent");
     assert!(stream.read(&mut [0; 64]).is_ok_and(|read| read > 0), "an answer before the end of the body");
-    assert_answers(&proxy);
+    proxy.assert_answers();
 }
 
 #[test]
@@ -143,7 +159,7 @@
     let _clients = clients_that_send(&proxy, format!("GET /look HTTP/1.1\r\nhost: a\r\n{fields}").as_bytes());
     thread::sleep(Duration::from_millis(500));
     proxy.assert_within_memory_limit();
-    assert_answers(&proxy);
+    proxy.assert_answers();
 }
 
 #[test]
@@ -157,7 +173,7 @@
     let _clients = clients_that_send(&proxy, (head + &body).as_bytes());
     thread::sleep(Duration::from_millis(2000));
     proxy.assert_within_memory_limit();
-    assert_answers(&proxy);
+    proxy.assert_answers();
 }
 
 #[test]
@@ -168,7 +184,7 @@
     let _clients = clients_that_send(&proxy, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
     thread::sleep(Duration::from_millis(2000));
     proxy.assert_within_memory_limit();
-    assert_answers(&proxy);
+    proxy.assert_answers();
 }
 
 #[test]
@@ -179,7 +195,7 @@
     let _clients = clients_that_send(&proxy, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
     thread::sleep(Duration::from_millis(2000));
     proxy.assert_within_memory_limit();
-    assert_answers(&proxy);
+    proxy.assert_answers();
 }
 
 #[test]
@@ -189,5 +205,62 @@
     let _clients = clients_that_send(&proxy, requests.as_bytes());
     thread::sleep(Duration::from_millis(500));
     proxy.assert_within_memory_limit();
-    assert_answers(&proxy);
+    proxy.assert_answers();
+}
+
+/// The time within which another client has to be answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+#[test]
+fn requests_of_one_client_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let messages: [fn(usize) -> String; 4] = [
+        |_| "GET /look HTTP/1.1\r\nhost: a\r\n\r\n".into(),
+        |number| format!("GET /unknown-{number} HTTP/1.1\r\nhost: a\r\n\r\n"),
+        |number| {
+            format!("GET /look HTTP/1.1\r\nx-client: {number}\r\nx-visit: {number}\r\nx-{number}: 1\r\n\r\n")
+        },
+        |number| {
+            format!(
+                "POST /look/{number} HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+            )
+        },
+    ];
+    for message in messages {
+        let proxy = ProxyProcess::start(endpoint(small_response()));
+        let sender = TcpStream::connect(proxy.address).expect("connected");
+        discard_received(sender.try_clone().expect("cloned"));
+        let longest = longest_answer_during_flood(sender, message, || proxy.assert_answers());
+        assert!(longest < ANSWER_TIMEOUT, "{longest:?} for {}", message(7));
+        proxy.assert_within_memory_limit();
+    }
+}
+
+/// A client whose unsound requests are rejected, each on a connection of its own.
+#[test]
+fn unsound_requests_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let proxy = ProxyProcess::start(endpoint(small_response()));
+    let sender = RejectedClient { address: proxy.address };
+    let message =
+        |number| format!("GET /{number} HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n");
+    let longest = longest_answer_during_flood(sender, message, || proxy.assert_answers());
+    assert!(longest < ANSWER_TIMEOUT, "{longest:?}");
+    proxy.assert_within_memory_limit();
+}
+
+/// Opens a connection for each request, and the next one after the proxy has closed it.
+struct RejectedClient {
+    address: SocketAddr,
+}
+
+impl Write for RejectedClient {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut stream = TcpStream::connect(self.address)?;
+        let written = stream.write(bytes)?;
+        stream.read_to_end(&mut Vec::new())?;
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
 }
--- a/crates/proxy/src/io/client_stream.rs
+++ b/crates/proxy/src/io/client_stream.rs
@@ -44,6 +44,12 @@
         (*self.0).as_ref()
     }
 
+    /// Returns true if the client has reset the connection. Unlike [`ClientHandle::wait_for_reset`], this asks the
+    /// system, which knows of a reset before an event has reported it. It reports it only once.
+    pub fn take_reset(&self) -> bool {
+        !matches!(self.socket().take_error(), Ok(None))
+    }
+
     /// Waits until the client resets the connection. Does not return for a client that only closed its
     /// sending side.
     pub async fn wait_for_reset(&self) {
--- a/crates/proxy/src/io/clients.rs
+++ b/crates/proxy/src/io/clients.rs
@@ -1,17 +1,21 @@
 //! Client connections: accepts them, serves HTTP/1.1 on them, and drains them at shutdown.
 
 use std::cell::Cell;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use super::bodies::Body;
 use super::client_stream::{ClientHandle, ClientStream};
 use super::connection_pool::MAX_CONNECTION_BUFFER_BYTES;
 use super::forward::forward;
@@ -80,7 +84,7 @@
     let between_requests = Rc::new(Cell::new(true));
     let validated =
         RequestValidator::new(stream, between_requests.clone(), worker.buffered_bytes.reservation());
-    let service = service_fn(|request| forward(request, worker.clone()));
+    let service = service_fn(|request| forward_unless_reset(request, worker.clone(), &handle));
     let mut http = http1::Builder::new();
     // A client that has only closed its sending side still waits for the response.
     http.half_close(true)
@@ -104,6 +108,19 @@
     }
 }
 
+/// Forwards a request, unless the client has reset its connection: nobody waits for the response, and the request may
+/// be one of many that were received before the reset.
+async fn forward_unless_reset(
+    request: Request<Incoming>,
+    worker: Rc<Worker>,
+    client: &ClientHandle,
+) -> io::Result<Response<Body>> {
+    if client.take_reset() {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    Ok(forward(request, worker).await)
+}
+
 /// Waits until the proxy drains and no byte of a further request was received.
 async fn wait_until_idle_while_draining(
     worker: &Worker,
--- a/crates/proxy/src/io/forward.rs
+++ b/crates/proxy/src/io/forward.rs
@@ -33,15 +33,12 @@
 /// Forwards a client's request and returns the response. While the proxy drains, the response closes the
 /// connection. If the client resets the connection, the future is dropped and the attempt in flight is
 /// abandoned.
-///
-/// # Errors
-/// Never returns an error; the HTTP library requires the `Result`.
-pub async fn forward(request: Request<Incoming>, worker: Rc<Worker>) -> Result<Response<Body>, hyper::Error> {
+pub async fn forward(request: Request<Incoming>, worker: Rc<Worker>) -> Response<Body> {
     let mut response = answer(request, &worker).await;
     if worker.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 /// Answers a request and logs the result. A request whose client resets the connection first is not logged.
