--- a/crates/cli/tests/overload/clients.rs
+++ b/crates/cli/tests/overload/clients.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,12 @@
 /// The time after which the program under test counts as not reading any more.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Waits until no other of these tests runs: each loads the machine, and some of them measure times.
+pub fn run_alone() -> MutexGuard<'static, ()> {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Connects with a receive buffer so small that what the client does not read stays with the program under test.
 pub fn connect_with_small_window(address: SocketAddr) -> TcpStream {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).expect("a socket");
--- a/crates/cli/tests/overload/closing.rs
+++ b/crates/cli/tests/overload/closing.rs
@@ -11,7 +11,7 @@
 use rustix::process::Signal;
 use socket2::SockRef;
 
-use crate::clients::{connect_with_small_window, send_some};
+use crate::clients::{connect_with_small_window, run_alone, send_some};
 use crate::control::ask;
 use crate::proxy::ProxyProcess;
 
@@ -90,12 +90,14 @@
 /// Guards against effects of requests that nobody waits for.
 #[test]
 fn requests_of_a_client_that_closed_with_unread_answers_are_not_forwarded() {
+    let _alone = run_alone();
     let after = requests_after(drop);
     assert!(after <= MAX_REQUESTS_AFTER_CLOSE, "{after} requests");
 }
 
 #[test]
 fn requests_of_a_client_that_reset_its_connection_are_not_forwarded() {
+    let _alone = run_alone();
     let after = requests_after(|stream| {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
     });
@@ -104,6 +106,7 @@
 
 #[test]
 fn requests_of_a_client_that_read_all_answers_and_closed_are_not_forwarded() {
+    let _alone = run_alone();
     let after = requests_after(|mut stream| {
         stream.set_nonblocking(true).expect("set");
         while let Ok(1..) = stream.read(&mut [0; 4096]) {}
@@ -114,6 +117,7 @@
 /// The proxy reads nothing until the client has reset its connection.
 #[test]
 fn requests_that_were_all_unread_when_the_client_reset_its_connection_are_not_forwarded() {
+    let _alone = run_alone();
     let endpoint = CountingEndpoint::start();
     let proxy = ProxyProcess::start(endpoint.address);
     // The proxy has an idle connection to the endpoint, on which a request could leave at once.
@@ -136,6 +140,7 @@
 /// Guards against commands that take effect though the client has gone without reading the answers to earlier ones.
 #[test]
 fn commands_of_a_client_that_closed_with_unread_answers_are_not_executed() {
+    let _alone = run_alone();
     let endpoint = CountingEndpoint::start();
     let proxy = ProxyProcess::start(endpoint.address);
     proxy.pause();
@@ -153,6 +158,7 @@
 /// A client that closed only its sending side still waits for all answers.
 #[test]
 fn requests_of_a_client_that_closed_its_sending_side_are_answered() {
+    let _alone = run_alone();
     let after = requests_after(|stream| {
         stream.shutdown(std::net::Shutdown::Write).expect("open");
         // The connection stays open for reading beyond this test's observation.
--- a/crates/cli/tests/overload/control.rs
+++ b/crates/cli/tests/overload/control.rs
@@ -9,7 +9,7 @@
 
 use lockcroft_scenario::ControllerProcess;
 
-use crate::clients::{discard_received, longest_answer_during_flood};
+use crate::clients::{discard_received, longest_answer_during_flood, run_alone};
 use crate::controller_fixture::{ControllerFixture, endpoint_list_xml};
 use crate::process_memory::assert_memory_below;
 use crate::proxy::{ProxyProcess, endpoint, small_response};
@@ -92,6 +92,7 @@
 
 #[test]
 fn answers_of_a_proxy_that_are_not_read_keep_the_memory_limit() {
+    let _alone = run_alone();
     let proxy = proxy_with_many_servers();
     let _clients = clients_that_do_not_read(&proxy.control_socket());
     thread::sleep(SETTLE_TIME);
@@ -101,6 +102,7 @@
 
 #[test]
 fn answers_of_a_controller_that_are_not_read_keep_the_memory_limit() {
+    let _alone = run_alone();
     let (fixture, controller) = controller_with_many_servers();
     let _clients = clients_that_do_not_read(&fixture.socket());
     thread::sleep(SETTLE_TIME);
@@ -109,6 +111,7 @@
 
 #[test]
 fn short_commands_without_their_payload_keep_the_memory_limit_of_a_proxy() {
+    let _alone = run_alone();
     let proxy = ProxyProcess::start(endpoint(small_response()));
     let _clients = clients_that_send(&proxy.control_socket(), 250, &short_commands());
     thread::sleep(SETTLE_TIME);
@@ -118,6 +121,7 @@
 
 #[test]
 fn short_commands_without_their_payload_keep_the_memory_limit_of_a_controller() {
+    let _alone = run_alone();
     let fixture = ControllerFixture::new();
     let controller = fixture.start_controller();
     let _clients = clients_that_send(&fixture.socket(), 250, &short_commands());
@@ -135,6 +139,7 @@
 
 #[test]
 fn commands_with_ever_new_names_neither_delay_others_nor_fill_the_memory_of_a_proxy() {
+    let _alone = run_alone();
     let lines: [fn(usize) -> String; 6] = [
         |number| format!("set var proc.name-{number} int(1)\n"),
         |_| "prepare map classes\n".into(),
@@ -157,6 +162,7 @@
 
 #[test]
 fn commands_with_ever_new_names_neither_delay_others_nor_fill_the_memory_of_a_controller() {
+    let _alone = run_alone();
     let lines: [fn(usize) -> String; 3] = [
         |number| format!("set server servers/name-{number} state drain\n"),
         |number| format!("set log info,name{number}=debug\n"),
--- a/crates/cli/tests/overload/platform.rs
+++ b/crates/cli/tests/overload/platform.rs
@@ -6,7 +6,9 @@
 
 use serde_json::json;
 
-use crate::clients::{connect_with_small_window, discard_received, longest_answer_during_flood, send_some};
+use crate::clients::{
+    connect_with_small_window, discard_received, longest_answer_during_flood, run_alone, send_some,
+};
 use crate::platform_controller::{PlatformController, attach_message, free_address};
 use crate::platform_testbed::{Discovery, endpoint, entry};
 use crate::process_memory::assert_memory_below;
@@ -44,6 +46,7 @@
 
 #[test]
 fn attached_clients_that_stop_within_a_long_message_keep_the_memory_limit() {
+    let _alone = run_alone();
     let controller = start_controller();
     let mut streams = attach_all(&controller);
     let part = format!("{{\"t\":\"done\",\"filler\":\"{}", "x".repeat(MAX_MESSAGE_BYTES - 100));
@@ -56,6 +59,7 @@
 
 #[test]
 fn unattached_clients_that_stop_within_a_message_keep_the_memory_limit() {
+    let _alone = run_alone();
     let controller = start_controller();
     let mut streams = Vec::new();
     for _ in 0..900 {
@@ -69,6 +73,7 @@
 
 #[test]
 fn attached_clients_that_do_not_read_keep_the_memory_limit() {
+    let _alone = run_alone();
     let controller = start_controller();
     let mut streams = attach_all(&controller);
     let heartbeats = "{\"t\":\"hb\"}\n".repeat(50_000);
@@ -96,6 +101,7 @@
 
 #[test]
 fn a_message_of_very_many_short_fields_keeps_the_memory_limit() {
+    let _alone = run_alone();
     let controller = start_controller();
     let objects = "{\"\":0},".repeat(MAX_MESSAGE_BYTES / 7 - 20);
     let elements = "[],".repeat(MAX_MESSAGE_BYTES / 3 - 40);
@@ -130,6 +136,7 @@
 
 #[test]
 fn messages_of_one_client_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let _alone = run_alone();
     let collector = "{\"t\":\"telemetry\",\"locality\":\"a\"}\n";
     flood("", |_| "{\"t\":\"hb\"}\n".into());
     flood(&attach_message(2), |_| "{\"t\":\"hb\"}\n".into());
@@ -149,6 +156,7 @@
 /// A client that attaches under ever new numbers, each on a connection of its own.
 #[test]
 fn attachments_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let _alone = run_alone();
     let controller = start_controller();
     let mut heartbeat = controller.attach_proxy(1, false);
     let sender = AttachingClient { address: controller.listen };
--- a/crates/cli/tests/overload/proxy.rs
+++ b/crates/cli/tests/overload/proxy.rs
@@ -9,7 +9,9 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::clients::{connect_with_small_window, discard_received, longest_answer_during_flood, send_some};
+use crate::clients::{
+    connect_with_small_window, discard_received, longest_answer_during_flood, run_alone, send_some,
+};
 use crate::controller_fixture::PROGRAM;
 use crate::platform_controller::free_address;
 use crate::process_memory::assert_memory_below;
@@ -142,6 +144,7 @@
 /// and the connection was reused.
 #[test]
 fn a_body_that_stops_after_its_answer_delays_no_other_request() {
+    let _alone = run_alone();
     let proxy = ProxyProcess::start(endpoint(small_response()));
     let mut stream = TcpStream::connect(proxy.address).expect("connected");
     let length = 2 * MAX_BUFFERED_BODY_BYTES;
@@ -154,6 +157,7 @@
 
 #[test]
 fn heads_of_many_short_fields_that_never_end_keep_the_memory_limit() {
+    let _alone = run_alone();
     let proxy = ProxyProcess::start(endpoint(small_response()));
     let fields: String = (0..90).map(|field| format!("x{field}: {}\r\n", "y".repeat(160))).collect();
     let _clients = clients_that_send(&proxy, format!("GET /look HTTP/1.1\r\nhost: a\r\n{fields}").as_bytes());
@@ -164,6 +168,7 @@
 
 #[test]
 fn requests_whose_body_never_ends_keep_the_memory_limit() {
+    let _alone = run_alone();
     let proxy = ProxyProcess::start(endpoint(small_response()));
     let fields: String = (0..90).map(|field| format!("x{field}: {field}\r\n")).collect();
     let head = format!(
@@ -178,6 +183,7 @@
 
 #[test]
 fn buffered_responses_that_are_not_read_keep_the_memory_limit() {
+    let _alone = run_alone();
     let body = "x".repeat(MAX_BUFFERED_BODY_BYTES);
     let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {MAX_BUFFERED_BODY_BYTES}\r\n\r\n{body}");
     let proxy = ProxyProcess::start(endpoint(response));
@@ -189,6 +195,7 @@
 
 #[test]
 fn streamed_responses_that_are_not_read_keep_the_memory_limit() {
+    let _alone = run_alone();
     let chunk = format!("{:x}\r\n{}\r\n", 1 << 20, "x".repeat(1 << 20));
     let response = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunk.repeat(4));
     let proxy = ProxyProcess::start(endpoint(response));
@@ -200,6 +207,7 @@
 
 #[test]
 fn pipelined_requests_whose_responses_are_not_read_keep_the_memory_limit() {
+    let _alone = run_alone();
     let proxy = ProxyProcess::start(endpoint(small_response()));
     let requests = "GET /look HTTP/1.1\r\nhost: a\r\n\r\n".repeat(30_000);
     let _clients = clients_that_send(&proxy, requests.as_bytes());
@@ -213,6 +221,7 @@
 
 #[test]
 fn requests_of_one_client_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let _alone = run_alone();
     let messages: [fn(usize) -> String; 4] = [
         |_| "GET /look HTTP/1.1\r\nhost: a\r\n\r\n".into(),
         |number| format!("GET /unknown-{number} HTTP/1.1\r\nhost: a\r\n\r\n"),
@@ -238,6 +247,7 @@
 /// A client whose unsound requests are rejected, each on a connection of its own.
 #[test]
 fn unsound_requests_at_full_speed_neither_delay_others_nor_fill_the_memory() {
+    let _alone = run_alone();
     let proxy = ProxyProcess::start(endpoint(small_response()));
     let sender = RejectedClient { address: proxy.address };
     let message =
