--- a/crates/cli/tests/overload/proxy.rs
+++ b/crates/cli/tests/overload/proxy.rs
@@ -21,6 +21,8 @@
 const CLIENTS: usize = 900;
 /// The longest body that the proxy under test buffers.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
+/// The time in which a proxy under load has taken in what its clients sent.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 const START_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// A proxy process with one endpoint; dropping it kills the process.
@@ -140,6 +142,16 @@
     (0..CLIENTS).map(connect).collect()
 }
 
+/// Checks that clients which send this to a proxy whose endpoint answers with `response`, and read nothing, leave it within
+/// its memory limit and able to answer another client.
+fn assert_memory_kept(response: String, request: &[u8]) {
+    let proxy = ProxyProcess::start(endpoint(response));
+    let _clients = clients_that_send(&proxy, request);
+    thread::sleep(SETTLE_TIME);
+    proxy.assert_within_memory_limit();
+    proxy.assert_answers();
+}
+
 /// Guards against a request that waits for another client's body: its endpoint had answered before the end of that body,
 /// and the connection was reused.
 #[test]
@@ -158,27 +170,19 @@
 #[test]
 fn heads_of_many_short_fields_that_never_end_keep_the_memory_limit() {
     let _alone = run_alone();
-    let proxy = ProxyProcess::start(endpoint(small_response()));
     let fields: String = (0..90).map(|field| format!("x{field}: {}\r\n", "y".repeat(160))).collect();
-    let _clients = clients_that_send(&proxy, format!("GET /look HTTP/1.1\r\nhost: a\r\n{fields}").as_bytes());
-    thread::sleep(Duration::from_millis(500));
-    proxy.assert_within_memory_limit();
-    proxy.assert_answers();
+    assert_memory_kept(small_response(), format!("GET /look HTTP/1.1\r\nhost: a\r\n{fields}").as_bytes());
 }
 
 #[test]
 fn requests_whose_body_never_ends_keep_the_memory_limit() {
     let _alone = run_alone();
-    let proxy = ProxyProcess::start(endpoint(small_response()));
     let fields: String = (0..90).map(|field| format!("x{field}: {field}\r\n")).collect();
     let head = format!(
         "POST /look HTTP/1.1\r\nhost: a\r\n{fields}content-length: {MAX_BUFFERED_BODY_BYTES}\r\n\r\n"
     );
     let body = "x".repeat(MAX_BUFFERED_BODY_BYTES - 1);
-    let _clients = clients_that_send(&proxy, (head + &body).as_bytes());
-    thread::sleep(Duration::from_millis(2000));
-    proxy.assert_within_memory_limit();
-    proxy.assert_answers();
+    assert_memory_kept(small_response(), (head + &body).as_bytes());
 }
 
 #[test]
@@ -186,11 +190,7 @@
     let _alone = run_alone();
     let body = "x".repeat(MAX_BUFFERED_BODY_BYTES);
     let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {MAX_BUFFERED_BODY_BYTES}\r\n\r\n{body}");
-    let proxy = ProxyProcess::start(endpoint(response));
-    let _clients = clients_that_send(&proxy, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
-    thread::sleep(Duration::from_millis(2000));
-    proxy.assert_within_memory_limit();
-    proxy.assert_answers();
+    assert_memory_kept(response, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
 }
 
 #[test]
@@ -198,22 +198,14 @@
     let _alone = run_alone();
     let chunk = format!("{:x}\r\n{}\r\n", 1 << 20, "x".repeat(1 << 20));
     let response = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunk.repeat(4));
-    let proxy = ProxyProcess::start(endpoint(response));
-    let _clients = clients_that_send(&proxy, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
-    thread::sleep(Duration::from_millis(2000));
-    proxy.assert_within_memory_limit();
-    proxy.assert_answers();
+    assert_memory_kept(response, b"GET /look HTTP/1.1\r\nhost: a\r\n\r\n");
 }
 
 #[test]
 fn pipelined_requests_whose_responses_are_not_read_keep_the_memory_limit() {
     let _alone = run_alone();
-    let proxy = ProxyProcess::start(endpoint(small_response()));
     let requests = "GET /look HTTP/1.1\r\nhost: a\r\n\r\n".repeat(30_000);
-    let _clients = clients_that_send(&proxy, requests.as_bytes());
-    thread::sleep(Duration::from_millis(500));
-    proxy.assert_within_memory_limit();
-    proxy.assert_answers();
+    assert_memory_kept(small_response(), requests.as_bytes());
 }
 
 /// The time within which another client has to be answered.
